--- /dev/null
+++ b/crates/jasperhill-control/src/controller.rs
@@ -0,0 +1,392 @@
+//! A controller's state and the loops that drive it. The state lives in one cell that is
+//! never borrowed across an await.
+
+use crate::{
+    authority::{self, Authority, Session},
+    budget::Bucket,
+    clock::Clock,
+    cloud::Leader,
+    mirror::{self, Change, JobEntry, Mirror},
+    net::Transport,
+    settings::Settings,
+    store::Writer,
+};
+use jasperhill_http::{Request, Response};
+use jasperhill_sched::{
+    Partition, SchedConfig,
+    config::{Specs, specs},
+    job::Ending,
+    partition::Note,
+};
+use jasperhill_wire::{
+    HostId, JobId, Member, Micros, Name, Revision,
+    record::{RecordPhase, Role},
+};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, oneshot},
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+pub(crate) fn std_time(t: Micros) -> Duration {
+    Duration::from_micros(t.0)
+}
+
+/// All that changes.
+pub(crate) struct State {
+    pub authority: Authority,
+    pub mirror: Mirror,
+    pub partitions: BTreeMap<u32, Partition>,
+    pub leader: Option<Leader>,
+    pub specs: Option<Rc<Specs>>,
+    pub writer: Writer,
+    pub barrier: Vec<oneshot::Sender<bool>>,
+    pub requests: Bucket,
+    pub cloud: Bucket,
+    /// Ownerships given up on purpose, by the revision that is no longer acted on.
+    pub relinquished: BTreeMap<Role, Revision>,
+    /// Roles with a takeover under way.
+    pub taking: BTreeSet<Role>,
+    /// Since when a role has been without an owner.
+    pub orphaned: BTreeMap<Role, Micros>,
+    /// Since when a member has had a session.
+    pub alive: BTreeMap<Member, Micros>,
+    pub saving: BTreeSet<JobId>,
+    pub bumping: BTreeSet<HostId>,
+    pub releasing: BTreeSet<HostId>,
+    /// When refused jobs were first asked for, so that a retry does not get more time.
+    pub first_asked: BTreeMap<JobId, Micros>,
+    tasks: JoinSet<()>,
+}
+
+pub(crate) struct Inner {
+    pub settings: Settings,
+    pub sched: Rc<SchedConfig>,
+    pub split: BTreeMap<Name, u32>,
+    pub members: Vec<Member>,
+    pub clock: Clock,
+    net: Rc<dyn Transport>,
+    pub state: RefCell<State>,
+    pub wake_pass: Notify,
+    pub wake_writer: Notify,
+    pub wake_barrier: Notify,
+    pub wake_roles: Notify,
+}
+
+/// One controller. Dropping it ends all that it does.
+pub struct Controller(pub(crate) Rc<Inner>);
+
+impl Drop for Controller {
+    fn drop(&mut self) {
+        self.0.state.borrow_mut().tasks.abort_all();
+    }
+}
+
+impl Controller {
+    /// Starts the loops. Needs a `LocalSet`.
+    pub fn start(settings: Settings, clock: Clock, net: Rc<dyn Transport>) -> Self {
+        let now = clock.now();
+        let sched = Rc::new(settings.sched());
+        let share = 1.0 / f64::from(settings.size);
+        let rps = settings.state_rps * share * 0.9;
+        let writes = settings.state_write_rps * share * 0.9;
+        let state = State {
+            authority: Authority::new(settings.session(), settings.watch_age_max()),
+            mirror: Mirror::default(),
+            partitions: BTreeMap::new(),
+            leader: None,
+            specs: None,
+            writer: Writer::new(Bucket::new(writes, writes, now)),
+            barrier: Vec::new(),
+            requests: Bucket::new(rps, rps, now),
+            cloud: Bucket::new(settings.cloud_rps * 0.8, settings.cloud_rps, now),
+            relinquished: BTreeMap::new(),
+            taking: BTreeSet::new(),
+            orphaned: BTreeMap::new(),
+            alive: BTreeMap::new(),
+            saving: BTreeSet::new(),
+            bumping: BTreeSet::new(),
+            releasing: BTreeSet::new(),
+            first_asked: BTreeMap::new(),
+            tasks: JoinSet::new(),
+        };
+        let inner = Rc::new(Inner {
+            split: jasperhill_sched::split::split(&settings.teams, settings.size),
+            members: settings.members(),
+            sched,
+            settings,
+            clock,
+            net,
+            state: RefCell::new(state),
+            wake_pass: Notify::new(),
+            wake_writer: Notify::new(),
+            wake_barrier: Notify::new(),
+            wake_roles: Notify::new(),
+        });
+        inner.clone().spawn(inner.clone().mirror_loop());
+        inner.clone().spawn(inner.clone().barrier_loop());
+        inner.clone().spawn(inner.clone().writer_loop());
+        inner.clone().spawn(inner.clone().session_loop());
+        inner.clone().spawn(inner.clone().roles_loop());
+        inner.clone().spawn(inner.clone().pass_loop());
+        inner.clone().spawn(inner.clone().cloud_loop());
+        Self(inner)
+    }
+
+    /// Answers users, workers and health checks.
+    pub fn handle(&self, request: Request) -> impl Future<Output = Response> + use<> {
+        let inner = self.0.clone();
+        async move { inner.serve(request).await }
+    }
+
+    /// Answers the other controllers.
+    pub fn handle_mesh(&self, request: Request) -> impl Future<Output = Response> + use<> {
+        let inner = self.0.clone();
+        async move { inner.serve_mesh(request).await }
+    }
+}
+
+impl Inner {
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    pub fn spawn(self: Rc<Self>, task: impl Future<Output = ()> + 'static) {
+        let mut state = self.state.borrow_mut();
+        while state.tasks.try_join_next().is_some() {}
+        state.tasks.spawn_local(task);
+    }
+
+    pub async fn call(
+        &self,
+        to: SocketAddr,
+        request: Request,
+        limit: Micros,
+    ) -> Result<Response, jasperhill_http::ClientError> {
+        self.net.call(to, request, std_time(limit)).await
+    }
+
+    pub fn has_authority(&self) -> bool {
+        let now = self.now();
+        self.state.borrow().authority.holds(now)
+    }
+
+    pub fn partition_of(&self, team: &Name) -> Option<u32> {
+        self.split.get(team).copied()
+    }
+
+    /// The controller that a partition falls to by default.
+    pub fn home(&self, partition: u32) -> &Member {
+        &self.members[partition as usize % self.members.len()]
+    }
+
+    /// Feeds the mirror and carries its changes over to all that depends on it.
+    pub fn apply_mirror(&self, input: mirror::Input) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let changes = state.mirror.apply(input);
+        if changes.is_empty() {
+            return;
+        }
+        let (mut roles, mut pass) = (false, false);
+        for change in changes {
+            match change {
+                Change::Job(id) => pass |= self.job_changed(&mut state, &id, now),
+                Change::Host(id) => {
+                    self.host_changed(&mut state, &id, now);
+                    pass = true;
+                }
+                Change::Session(member) => {
+                    if state.mirror.sessions.contains_key(&member) {
+                        state.alive.entry(member).or_insert(now);
+                    } else {
+                        state.alive.remove(&member);
+                    }
+                    roles = true;
+                }
+                Change::Role(_) => roles = true,
+                Change::Types => {
+                    if let Some(types) = &state.mirror.types
+                        && state.specs.is_none()
+                    {
+                        state.specs = Some(Rc::new(specs(&types.value.types)));
+                        roles = true;
+                    }
+                }
+            }
+        }
+        drop(state);
+        if roles {
+            self.wake_roles.notify_one();
+        }
+        if pass {
+            self.wake_pass.notify_one();
+        }
+    }
+
+    fn job_changed(&self, state: &mut State, id: &JobId, now: Micros) -> bool {
+        match state.mirror.job(id) {
+            Some(JobEntry::Active(job)) => {
+                let Some(p) = self.partition_of(&job.request.team) else {
+                    return false;
+                };
+                let Some(partition) = state.partitions.get_mut(&p) else {
+                    return false;
+                };
+                let submitted = self.clock.steady(job.submitted);
+                partition.upsert_job(&job.request, job.version, submitted, &job.finished);
+                true
+            }
+            Some(JobEntry::Final { phase, .. }) => {
+                let ending = match phase {
+                    RecordPhase::Done => Ending::Done,
+                    _ => Ending::Cancelled,
+                };
+                for partition in state.partitions.values_mut() {
+                    partition.end_job(id, ending, now);
+                }
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn host_changed(&self, state: &mut State, id: &HostId, now: Micros) {
+        let record = state.mirror.hosts.get(id).cloned();
+        let home = record.as_ref().and_then(|k| k.value.partition());
+        for (p, partition) in &mut state.partitions {
+            match &record {
+                Some(kept) if home == Some(*p) => {
+                    partition.upsert_host(id, &kept.value, kept.version, false, now);
+                }
+                _ if partition.hosts.contains_key(id) => partition.remove_host(id, now),
+                _ => {}
+            }
+        }
+        if home.is_none() {
+            state.releasing.remove(id);
+        }
+    }
+
+    /// The loop that decides: after changes, and every second for what only time changes.
+    async fn pass_loop(self: Rc<Self>) {
+        loop {
+            let woken = timeout(Duration::from_secs(1), self.wake_pass.notified())
+                .await
+                .is_ok();
+            if woken {
+                // Changes come in groups.
+                sleep(Duration::from_millis(10)).await;
+            }
+            self.clone().pass(!woken);
+        }
+    }
+
+    pub fn pass(self: Rc<Self>, tick: bool) {
+        let now = self.now();
+        let mut directs = Vec::new();
+        let mut state = self.state.borrow_mut();
+        if !state.authority.holds(now) {
+            return;
+        }
+        for (p, partition) in &mut state.partitions {
+            if tick {
+                // Hosts that have not shown the token yet are asked again.
+                let unfenced: Vec<HostId> = partition
+                    .hosts
+                    .values()
+                    .filter(|h| matches!(h.reach, jasperhill_sched::Reach::Unfenced { .. }))
+                    .map(|h| h.id.clone())
+                    .collect();
+                partition.dirty.extend(unfenced);
+            }
+            if tick || partition.changed {
+                partition.pass(now);
+            }
+            for note in partition.notes.drain(..) {
+                log_note(&note);
+            }
+            for host in std::mem::take(&mut partition.dirty) {
+                directs.push((*p, host));
+            }
+        }
+        drop(state);
+        for (p, host) in directs {
+            self.clone().spawn(self.clone().direct(p, host));
+        }
+        self.clone().save_results();
+        self.bump_tokens();
+    }
+
+    /// What must go at once when the session is gone: nothing is owned any more.
+    pub fn drop_ownership(&self, state: &mut State, why: &str) {
+        let parts: Vec<u32> = state.partitions.keys().copied().collect();
+        if !parts.is_empty() || state.leader.is_some() {
+            tracing::info!(
+                ?parts,
+                leader = state.leader.is_some(),
+                why,
+                "authority lost"
+            );
+        }
+        state.partitions.clear();
+        state.leader = None;
+    }
+
+    /// Begins and renews the session.
+    async fn session_loop(self: Rc<Self>) {
+        loop {
+            let session = self.state.borrow().authority.session();
+            let pause = match session {
+                Session::None => {
+                    if self.begin_session().await {
+                        Micros::ZERO
+                    } else {
+                        Micros::from_millis(200)
+                    }
+                }
+                Session::Held { lease, .. } => self.renew_session(lease).await,
+            };
+            sleep(std_time(pause)).await;
+        }
+    }
+
+    async fn renew_session(&self, lease: u64) -> Micros {
+        let sent = self.now();
+        let answer = self.lease_renew(lease).await;
+        let ttl = self.state.borrow().authority.ttl();
+        match answer {
+            Some(true) => {
+                self.state
+                    .borrow_mut()
+                    .authority
+                    .apply(authority::Input::Renewed { lease, sent });
+                ttl.scale(0.15).min(Micros::from_secs(2))
+            }
+            Some(false) => {
+                let mut state = self.state.borrow_mut();
+                state.authority.apply(authority::Input::Lost { lease });
+                self.drop_ownership(&mut state, "session ended");
+                Micros::ZERO
+            }
+            None => Micros::from_millis(250),
+        }
+    }
+}
+
+fn log_note(note: &Note) {
+    match note {
+        Note::HostLost(host) => tracing::info!(%host, "host lost: its lease has lapsed"),
+        Note::HostAside(host) => tracing::info!(%host, "host set aside: it fails what it starts"),
+        Note::Stopped(task, host, why) => tracing::info!(%task, %host, why, "task stopped"),
+        Note::Strange(task, host, why) => tracing::warn!(%task, %host, why, "task stopped"),
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-control/src/lib.rs
@@ -0,0 +1,22 @@
+//! A controller: sessions and authority, the store client, the mirror and its read barrier,
+//! the mesh, the user API, dealings with workers and the cloud. Thin I/O around the state
+//! machines here and in `jasperhill-sched`.
+
+pub mod authority;
+pub mod budget;
+pub mod clock;
+mod cloud;
+pub mod controller;
+mod mesh;
+pub mod mirror;
+pub mod net;
+mod roles;
+pub mod settings;
+mod store;
+mod users;
+mod workers;
+
+pub use clock::Clock;
+pub use controller::Controller;
+pub use net::{HttpTransport, Transport};
+pub use settings::{OwnSettings, Settings, SettingsError};
--- /dev/null
+++ b/crates/jasperhill-control/src/store.rs
@@ -0,0 +1,565 @@
+//! The client of the state service: group commit under a budget, the listing and the watch
+//! that feed the mirror, the read barrier, leases.
+
+use crate::{
+    authority::{self, Session},
+    budget::Bucket,
+    controller::{Inner, State, std_time},
+    mirror::{self, Phase},
+};
+use jasperhill_http::{ClientError, Method, Request, Response};
+use jasperhill_wire::{
+    Member, Micros, Revision,
+    record::{ROOT, RoleRecord, SessionRecord, role_key, session_key},
+    state::{Change, Guard, LeaseAnswer, Listing, Txn, TxnAnswer, WatchAnswer},
+};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use tokio::{
+    sync::oneshot,
+    time::{sleep, timeout},
+};
+
+/// How pressing a write is; the smaller goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Urgency {
+    Role,
+    Cancel,
+    Accept,
+    Finish,
+    Rest,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Written {
+    Done(Revision),
+    Conflict,
+    /// Surely not executed.
+    NotDone,
+    /// May have been executed, or may be later.
+    Unknown,
+}
+
+struct Op {
+    urgency: Urgency,
+    guards: Vec<Guard>,
+    changes: Vec<Change>,
+    bytes: usize,
+    by: Micros,
+    reply: oneshot::Sender<Written>,
+    alone: bool,
+}
+
+/// Writes that wait for their turn.
+pub(crate) struct Writer {
+    queue: Vec<Op>,
+    bucket: Bucket,
+}
+
+/// More waiting writes than this are refused at once.
+const QUEUE_MAX: usize = 2_000;
+const TXN_BYTES: usize = 60 * 1024;
+
+impl Writer {
+    pub fn new(bucket: Bucket) -> Self {
+        Self {
+            queue: Vec::new(),
+            bucket,
+        }
+    }
+}
+
+pub(crate) fn guard(key: impl Into<String>, version: Revision) -> Guard {
+    Guard {
+        key: key.into(),
+        version,
+    }
+}
+
+pub(crate) fn put(key: impl Into<String>, value: &impl serde::Serialize) -> Change {
+    Change::Put {
+        key: key.into(),
+        value: serde_json::to_value(value).unwrap_or_default(),
+        lease: None,
+    }
+}
+
+impl Inner {
+    /// Queues one atomic write and waits for its fate, at most until `limit` has passed
+    /// before it is sent.
+    pub async fn write(
+        &self,
+        urgency: Urgency,
+        guards: Vec<Guard>,
+        changes: Vec<Change>,
+        limit: Micros,
+    ) -> Written {
+        let (reply, fate) = oneshot::channel();
+        let bytes = serde_json::to_vec(&changes).map_or(TXN_BYTES, |b| b.len())
+            + guards.iter().map(|g| g.key.len() + 40).sum::<usize>();
+        {
+            let mut state = self.state.borrow_mut();
+            if state.writer.queue.len() >= QUEUE_MAX {
+                return Written::NotDone;
+            }
+            let by = self.now() + limit;
+            let op = Op {
+                urgency,
+                guards,
+                changes,
+                bytes,
+                by,
+                reply,
+                alone: false,
+            };
+            let place = state.writer.queue.partition_point(|o| o.urgency <= urgency);
+            state.writer.queue.insert(place, op);
+        }
+        self.wake_writer.notify_one();
+        fate.await.unwrap_or(Written::Unknown)
+    }
+
+    /// As many queued writes as fit one transaction and do not touch one another's keys.
+    fn next_batch(&self, state: &mut State, now: Micros) -> Vec<Op> {
+        let (late, queue): (Vec<Op>, Vec<Op>) = std::mem::take(&mut state.writer.queue)
+            .into_iter()
+            .partition(|o| now >= o.by);
+        for op in late {
+            let _ = op.reply.send(Written::NotDone);
+        }
+        let afford = state.writer.bucket.level(now).max(1.0) as usize;
+        let (mut batch, mut rest): (Vec<Op>, Vec<Op>) = (Vec::new(), Vec::new());
+        let (mut puts, mut conds, mut bytes) = (0, 0, 0);
+        let mut keys: BTreeSet<String> = BTreeSet::new();
+        let mut guarded: BTreeSet<String> = BTreeSet::new();
+        for op in queue {
+            let fits = batch.is_empty()
+                || (!batch[0].alone
+                    && !op.alone
+                    && puts + op.changes.len() <= self.settings.txn_ops.min(afford.max(4))
+                    && conds + op.guards.len() <= self.settings.txn_ops * 4
+                    && bytes + op.bytes <= TXN_BYTES
+                    && op
+                        .changes
+                        .iter()
+                        .all(|c| !keys.contains(c.key()) && !guarded.contains(c.key()))
+                    && op.guards.iter().all(|g| !keys.contains(&g.key)));
+            if !fits {
+                rest.push(op);
+                continue;
+            }
+            puts += op.changes.len();
+            conds += op.guards.len();
+            bytes += op.bytes;
+            keys.extend(op.changes.iter().map(|c| c.key().to_owned()));
+            guarded.extend(op.guards.iter().map(|g| g.key.clone()));
+            batch.push(op);
+        }
+        state.writer.queue = rest;
+        batch
+    }
+
+    fn requeue(&self, batch: Vec<Op>) {
+        let mut state = self.state.borrow_mut();
+        state.writer.queue.splice(0..0, batch);
+        state.writer.queue.sort_by_key(|o| o.urgency);
+    }
+
+    pub async fn writer_loop(self: Rc<Self>) {
+        loop {
+            if self.state.borrow().writer.queue.is_empty() {
+                self.wake_writer.notified().await;
+            }
+            let now = self.now();
+            let wait = {
+                let mut state = self.state.borrow_mut();
+                let State {
+                    requests, writer, ..
+                } = &mut *state;
+                let ready = writer.bucket.level(now) >= 1.0;
+                if !ready {
+                    writer.bucket.take(1.0, now).err()
+                } else {
+                    requests.take(1.0, now).err()
+                }
+            };
+            if let Some(wait) = wait {
+                sleep(std_time(wait)).await;
+                continue;
+            }
+            let batch = self.next_batch(&mut self.state.borrow_mut(), now);
+            if !batch.is_empty() {
+                self.commit(batch).await;
+            }
+        }
+    }
+
+    async fn commit(&self, batch: Vec<Op>) {
+        let mut guards: Vec<Guard> = Vec::new();
+        for g in batch.iter().flat_map(|o| &o.guards) {
+            if !guards.contains(g) {
+                guards.push(g.clone());
+            }
+        }
+        let changes: Vec<Change> = batch.iter().flat_map(|o| o.changes.clone()).collect();
+        let count = changes.len() as f64;
+        self.state
+            .borrow_mut()
+            .writer
+            .bucket
+            .force(count, self.now());
+        let body = serde_json::to_vec(&Txn { guards, changes }).unwrap_or_default();
+        let request = Request::new(Method::Post, "/txn", body);
+        let answer = self
+            .call(self.settings.state, request, Micros::from_millis(2_500))
+            .await;
+        match answer {
+            Ok(r) if r.status == 200 => match serde_json::from_slice::<TxnAnswer>(&r.body) {
+                Ok(answer) => {
+                    for op in batch {
+                        self.applied(op, answer.revision);
+                    }
+                }
+                Err(_) => unknown(batch),
+            },
+            Ok(r) if r.status == 409 => {
+                let failed = serde_json::from_slice::<TxnAnswer>(&r.body)
+                    .map(|a| a.failed)
+                    .unwrap_or_default();
+                // One failed guard does not sink the others.
+                let (lost, mut kept): (Vec<Op>, Vec<Op>) = batch
+                    .into_iter()
+                    .partition(|o| o.guards.iter().any(|g| failed.contains(&g.key)));
+                let none = lost.is_empty();
+                for op in lost {
+                    let _ = op.reply.send(Written::Conflict);
+                }
+                if none {
+                    kept.iter_mut().for_each(|o| o.alone = true);
+                }
+                self.requeue(kept);
+            }
+            Ok(r) if r.status == 400 => {
+                tracing::warn!(body = %String::from_utf8_lossy(&r.body), "a write was refused");
+                if batch.len() == 1 {
+                    for op in batch {
+                        let _ = op.reply.send(Written::Conflict);
+                    }
+                } else {
+                    let mut batch = batch;
+                    batch.iter_mut().for_each(|o| o.alone = true);
+                    self.requeue(batch);
+                }
+            }
+            Ok(r) if r.status == 429 || r.status == 503 => {
+                tracing::debug!(status = r.status, "a write has to wait");
+                self.requeue(batch);
+                sleep(Duration::from_millis(150)).await;
+            }
+            Err(ClientError::NotSent) => {
+                self.requeue(batch);
+                sleep(Duration::from_millis(150)).await;
+            }
+            _ => unknown(batch),
+        }
+    }
+
+    fn applied(&self, op: Op, revision: Revision) {
+        for change in op.changes {
+            let (key, value) = match change {
+                Change::Put { key, value, .. } => (key, Some(value)),
+                Change::Delete { key } => (key, None),
+            };
+            self.apply_mirror(mirror::Input::Own {
+                key,
+                value,
+                version: revision,
+            });
+        }
+        let _ = op.reply.send(Written::Done(revision));
+    }
+
+    /// A request to the state service, within the budget.
+    async fn state_call(&self, request: Request, limit: Micros) -> Result<Response, ClientError> {
+        loop {
+            let now = self.now();
+            let taken = self.state.borrow_mut().requests.take(1.0, now);
+            match taken {
+                Ok(()) => break,
+                Err(wait) => sleep(std_time(wait)).await,
+            }
+        }
+        self.call(self.settings.state, request, limit).await
+    }
+
+    fn fresh(&self, sent: Micros) {
+        self.state
+            .borrow_mut()
+            .authority
+            .apply(authority::Input::Fresh { sent });
+    }
+
+    /// Lists once, then watches; lists again when the watch has fallen too far behind.
+    pub async fn mirror_loop(self: Rc<Self>) {
+        loop {
+            let (phase, after) = {
+                let state = self.state.borrow();
+                (state.mirror.phase, state.mirror.revision)
+            };
+            let fine = if phase == Phase::Empty {
+                self.list_all().await
+            } else {
+                self.watch(after, Micros::from_secs(4)).await
+            };
+            if !fine {
+                sleep(Duration::from_millis(200)).await;
+            }
+        }
+    }
+
+    async fn list_all(&self) -> bool {
+        let (mut items, mut after) = (Vec::new(), String::new());
+        let (mut first, mut last) = (None, Revision(0));
+        loop {
+            let mut target = format!("/store?prefix={ROOT}&page=200");
+            if !after.is_empty() {
+                target.push_str("&after=");
+                target.push_str(&after);
+            }
+            let request = Request::new(Method::Get, target, Vec::new());
+            let Ok(answer) = self.state_call(request, Micros::from_secs(3)).await else {
+                return false;
+            };
+            if answer.status != 200 {
+                return false;
+            }
+            let Ok(page) = serde_json::from_slice::<Listing>(&answer.body) else {
+                return false;
+            };
+            first.get_or_insert(page.revision);
+            last = last.max(page.revision);
+            let end = page.items.last().map(|i| i.key.clone());
+            items.extend(page.items);
+            match end {
+                Some(end) if page.more => after = end,
+                _ => break,
+            }
+        }
+        let first = first.unwrap_or_default();
+        tracing::debug!(items = items.len(), revision = first.0, "listed the store");
+        self.apply_mirror(mirror::Input::Listed { items, first, last });
+        self.wake_roles.notify_one();
+        true
+    }
+
+    /// One watch. With `block` zero it is the read barrier: the answer shows a revision not
+    /// older than the request, and brings the mirror up to it.
+    async fn watch(&self, after: Revision, block: Micros) -> bool {
+        let target = format!(
+            "/watch?prefix={ROOT}&after={}&block_ms={}",
+            after.0,
+            block.0 / 1_000
+        );
+        let request = Request::new(Method::Get, target, Vec::new());
+        let now = self.now();
+        if block == Micros::ZERO {
+            let wait = self.state.borrow_mut().requests.take(1.0, now).err();
+            if let Some(wait) = wait {
+                sleep(std_time(wait)).await;
+            }
+        } else {
+            // The mirror feeds everything else: it does not wait behind it.
+            self.state.borrow_mut().requests.force(1.0, now);
+        }
+        let sent = self.now();
+        let limit = block
+            + if block == Micros::ZERO {
+                Micros::from_millis(900)
+            } else {
+                Micros::from_secs(2)
+            };
+        let Ok(answer) = self.call(self.settings.state, request, limit).await else {
+            return false;
+        };
+        match answer.status {
+            200 => {
+                let Ok(news) = serde_json::from_slice::<WatchAnswer>(&answer.body) else {
+                    tracing::warn!("a watch answer that is not understood");
+                    return false;
+                };
+                self.apply_mirror(mirror::Input::News {
+                    after,
+                    revision: news.revision,
+                    events: news.events,
+                });
+                self.fresh(sent);
+                true
+            }
+            410 => self.list_all().await,
+            _ => false,
+        }
+    }
+
+    /// Waits until the mirror shows at least what was true when this was called.
+    pub async fn barrier(&self) -> bool {
+        let (reply, done) = oneshot::channel();
+        {
+            let mut state = self.state.borrow_mut();
+            if !state.mirror.is_synced() || state.barrier.len() > 5_000 {
+                return false;
+            }
+            state.barrier.push(reply);
+        }
+        self.wake_barrier.notify_one();
+        matches!(
+            timeout(Duration::from_millis(1_500), done).await,
+            Ok(Ok(true))
+        )
+    }
+
+    /// One barrier serves everyone who waits for it.
+    pub async fn barrier_loop(self: Rc<Self>) {
+        loop {
+            self.wake_barrier.notified().await;
+            loop {
+                let (waiters, after) = {
+                    let mut state = self.state.borrow_mut();
+                    (std::mem::take(&mut state.barrier), state.mirror.revision)
+                };
+                if waiters.is_empty() {
+                    break;
+                }
+                let fine =
+                    self.watch(after, Micros::ZERO).await && self.state.borrow().mirror.is_synced();
+                for waiter in waiters {
+                    let _ = waiter.send(fine);
+                }
+                // Those who come meanwhile share the next one.
+                sleep(Duration::from_millis(if fine { 25 } else { 100 })).await;
+            }
+        }
+    }
+
+    /// `Some(false)`: the lease is gone.
+    pub async fn lease_renew(&self, lease: u64) -> Option<bool> {
+        self.state.borrow_mut().requests.force(1.0, self.now());
+        let request = Request::new(
+            Method::Post,
+            format!("/leases/{lease}/renew"),
+            b"{}".to_vec(),
+        );
+        match self
+            .call(self.settings.state, request, Micros::from_secs(1))
+            .await
+        {
+            Ok(r) if r.status == 200 => Some(true),
+            Ok(r) if r.status == 404 => Some(false),
+            _ => None,
+        }
+    }
+
+    /// Asks for a lease and ties the session's key to it. A restarted controller takes over
+    /// its own earlier session and what that owned in the same transaction: the earlier
+    /// process is gone, and nobody needs to wait for its lease.
+    pub async fn begin_session(&self) -> bool {
+        if !self.barrier().await {
+            return false;
+        }
+        let ttl = self.state.borrow().authority.ttl();
+        let sent = self.now();
+        let body = format!("{{\"ttl_ms\":{}}}", ttl.0 / 1_000).into_bytes();
+        let request = Request::new(Method::Post, "/leases", body);
+        let lease = match self.state_call(request, Micros::from_secs(1)).await {
+            Ok(r) if r.status == 200 => match serde_json::from_slice::<LeaseAnswer>(&r.body) {
+                Ok(answer) => answer.lease,
+                Err(_) => return false,
+            },
+            _ => return false,
+        };
+        let me = &self.settings.member;
+        let key = session_key(me);
+        let (old, roles) = {
+            let state = self.state.borrow();
+            let old = state.mirror.sessions.get(me).cloned();
+            let roles: Vec<_> = state
+                .mirror
+                .roles
+                .iter()
+                .filter(|(_, k)| &k.value.owner == me)
+                .map(|(role, k)| (*role, k.version))
+                .collect();
+            (old, roles)
+        };
+        let mut guards = vec![guard(&key, old.as_ref().map_or(Revision(0), |k| k.version))];
+        let value = serde_json::to_value(SessionRecord { lease }).unwrap_or_default();
+        let mut changes = vec![Change::Put {
+            key: key.clone(),
+            value,
+            lease: Some(lease),
+        }];
+        for (role, version) in roles.into_iter().take(self.settings.txn_ops - 1) {
+            guards.push(guard(role_key(role), version));
+            changes.push(put(
+                role_key(role),
+                &RoleRecord {
+                    owner: me.clone(),
+                    lease,
+                },
+            ));
+        }
+        match self
+            .write(Urgency::Role, guards, changes, Micros::from_secs(1))
+            .await
+        {
+            Written::Done(version) => {
+                self.state
+                    .borrow_mut()
+                    .authority
+                    .apply(authority::Input::Begun {
+                        lease,
+                        version,
+                        sent,
+                    });
+                tracing::info!(lease, "session begun");
+                if let Some(old) = old {
+                    self.end_lease(old.value.lease).await;
+                }
+                self.wake_roles.notify_one();
+                true
+            }
+            _ => {
+                // Not used: ended, so that a late write of it fails.
+                self.end_lease(lease).await;
+                false
+            }
+        }
+    }
+
+    async fn end_lease(&self, lease: u64) {
+        let request = Request::new(Method::Delete, format!("/leases/{lease}"), Vec::new());
+        let _ = self.state_call(request, Micros::from_secs(1)).await;
+    }
+
+    /// The guard that this controller's session is still the one it knows.
+    pub fn session_guard(&self, state: &State) -> Option<(u64, Guard)> {
+        match state.authority.session() {
+            Session::Held { lease, version } => {
+                Some((lease, guard(session_key(&self.settings.member), version)))
+            }
+            Session::None => None,
+        }
+    }
+
+    pub fn address_of(&self, member: &Member) -> Option<std::net::SocketAddr> {
+        self.settings
+            .peers
+            .iter()
+            .find(|p| &p.member == member)
+            .map(|p| p.address)
+    }
+}
+
+fn unknown(batch: Vec<Op>) {
+    for op in batch {
+        let _ = op.reply.send(Written::Unknown);
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-control/src/users.rs
@@ -0,0 +1,413 @@
+//! What users ask: submissions, polls, cancellations, readiness.
+
+use crate::{
+    controller::Inner,
+    mirror::JobEntry,
+    store::{Urgency, Written, guard, put},
+};
+use jasperhill_http::{Method, Request, Response};
+use jasperhill_sched::{Verdict, config::impossible};
+use jasperhill_wire::{
+    JobId, Micros, Revision,
+    mesh::{MeshAnswer, MeshRequest},
+    record::{JobRecord, RecordPhase, Role, job_key, role_key},
+    user::{ErrorBody, JobAnswer, JobPhase, JobRequest, JobStatus},
+};
+use std::rc::Rc;
+
+/// How soon a user should ask again when a controller can't decide.
+const RETRY_S: u32 = 1;
+/// How soon a refused job is worth another try: tasks end and machines come up all the time.
+const REFUSED_RETRY_S: u32 = 3;
+/// Refused jobs that are remembered.
+const ASKED_MAX: usize = 2_000;
+
+fn json(status: u16, body: &impl serde::Serialize) -> Response {
+    Response::new(status, serde_json::to_vec(body).unwrap_or_default())
+}
+
+pub(crate) fn error(status: u16, text: impl Into<String>) -> Response {
+    json(status, &ErrorBody { error: text.into() })
+}
+
+fn later(text: &str) -> Response {
+    error(503, text).retry_after(RETRY_S)
+}
+
+fn phase_of(phase: RecordPhase) -> JobPhase {
+    match phase {
+        RecordPhase::Active => JobPhase::Pending,
+        RecordPhase::Done => JobPhase::Done,
+        RecordPhase::Cancelled => JobPhase::Cancelled,
+    }
+}
+
+fn answer(status: u16, id: &JobId, phase: JobPhase) -> Response {
+    json(
+        status,
+        &JobAnswer {
+            id: id.as_str(),
+            phase,
+        },
+    )
+}
+
+impl Inner {
+    pub async fn serve(self: Rc<Self>, request: Request) -> Response {
+        let path = request.path().to_owned();
+        match (request.method, path.as_str()) {
+            (Method::Post, "/hello") => self.hello(&request.body),
+            (_, "/hello") => error(405, "only POST").allow("POST"),
+            (Method::Get, "/ready") => self.ready(),
+            (_, "/ready") => error(405, "only GET").allow("GET"),
+            (Method::Post, "/v1/jobs") => self.submit(&request.body).await,
+            (_, "/v1/jobs") => error(405, "only POST").allow("POST"),
+            (method, path) => match path.strip_prefix("/v1/jobs/") {
+                Some(rest) => match (method, rest.split_once('/')) {
+                    (Method::Get, None) => self.poll(rest).await,
+                    (_, None) => error(405, "only GET").allow("GET"),
+                    (Method::Post, Some((id, "abort"))) => self.cancel(id).await,
+                    (_, Some((_, "abort"))) => error(405, "only POST").allow("POST"),
+                    _ => error(404, "no such path"),
+                },
+                None => error(404, "no such path"),
+            },
+        }
+    }
+
+    fn ready(&self) -> Response {
+        let now = self.now();
+        let state = self.state.borrow();
+        let recent = now - state.authority.fresh() < Micros::from_secs(8);
+        if state.mirror.is_synced() && state.specs.is_some() && recent {
+            Response::new(200, b"{}".to_vec())
+        } else {
+            later("not ready")
+        }
+    }
+
+    /// The user's view of a known job; `None` if the mirror does not know it.
+    fn known(&self, id: &JobId) -> Option<(JobPhase, u32, u32, bool)> {
+        let state = self.state.borrow();
+        match state.mirror.job(id)? {
+            JobEntry::Final { phase, done } => Some((phase_of(*phase), *done, 0, true)),
+            JobEntry::Active(active) => {
+                let counts = self
+                    .partition_of(&active.request.team)
+                    .and_then(|p| state.partitions.get(&p))
+                    .and_then(|part| part.jobs.get(id))
+                    .map(|job| (job.running.len() as u32, job.done.count()));
+                let (running, done) = counts.unwrap_or((0, active.done_count));
+                let phase = if running > 0 {
+                    JobPhase::Running
+                } else {
+                    JobPhase::Pending
+                };
+                Some((phase, done, running, false))
+            }
+        }
+    }
+
+    async fn submit(self: &Rc<Self>, body: &[u8]) -> Response {
+        let request = match JobRequest::parse(body) {
+            Ok(request) => request,
+            Err(malformed) => return error(400, malformed.to_string()),
+        };
+        let id = request.id.clone();
+        // Looked up before anything that can change: a repeated submission gets its 200.
+        if let Some((phase, .., true)) = self.known(&id) {
+            return answer(200, &id, phase);
+        }
+        if self.known(&id).is_some() {
+            return self.known_answer(&id).await;
+        }
+        let (synced, impossible) = {
+            let state = self.state.borrow();
+            let Some(specs) = &state.specs else {
+                return later("machine types unknown");
+            };
+            (
+                state.mirror.is_synced(),
+                impossible(&request, &self.sched, specs),
+            )
+        };
+        if !synced {
+            return later("state unknown");
+        }
+        if let Some(why) = impossible {
+            if !self.barrier().await {
+                return later("state unknown");
+            }
+            return match self.known(&id) {
+                Some((phase, ..)) => answer(200, &id, phase),
+                None => error(422, why),
+            };
+        }
+        if request.deadline.is_none() {
+            return self.outcome(&id, self.create(&request, None).await).await;
+        }
+        let Some(p) = self.partition_of(&request.team) else {
+            return later("owner unknown");
+        };
+        let owner = self
+            .state
+            .borrow()
+            .mirror
+            .owner(Role::Partition(p))
+            .cloned();
+        let verdict = match owner {
+            Some(owner) if owner == self.settings.member => self.admit(request).await,
+            Some(owner) => match self.address_of(&owner) {
+                Some(address) => {
+                    let ask = MeshRequest::Admit(Box::new(request));
+                    self.ask(address, ask, Micros::from_millis(1_800))
+                        .await
+                        .unwrap_or(MeshAnswer::Unavailable)
+                }
+                None => MeshAnswer::Unavailable,
+            },
+            None => MeshAnswer::Unavailable,
+        };
+        self.outcome(&id, verdict).await
+    }
+
+    async fn outcome(self: &Rc<Self>, id: &JobId, verdict: MeshAnswer) -> Response {
+        match verdict {
+            MeshAnswer::Accepted => answer(201, id, JobPhase::Pending),
+            MeshAnswer::Known => self.known_answer(id).await,
+            MeshAnswer::Refused { retry_after_s } => {
+                error(429, "would miss its deadline").retry_after(retry_after_s)
+            }
+            _ => later("can't decide now"),
+        }
+    }
+
+    /// What a repeated submission gets.
+    async fn known_answer(self: &Rc<Self>, id: &JobId) -> Response {
+        if !self.barrier().await {
+            return later("state unknown");
+        }
+        match self.known(id) {
+            Some((phase, ..)) => answer(200, id, phase),
+            None => later("can't decide now"),
+        }
+    }
+
+    /// Writes a new job's record: the acceptance. `owner` adds the partition's guard.
+    async fn create(
+        self: &Rc<Self>,
+        request: &JobRequest,
+        owner: Option<(u32, Revision)>,
+    ) -> MeshAnswer {
+        let record = JobRecord {
+            phase: RecordPhase::Active,
+            done_count: 0,
+            request: Some(request.clone()),
+            submitted: Some(self.clock.wall()),
+            finished: Vec::new(),
+        };
+        let key = job_key(&request.id);
+        let mut guards = vec![guard(&key, Revision(0))];
+        if let Some((p, since)) = owner {
+            guards.push(guard(role_key(Role::Partition(p)), since));
+        }
+        let change = put(&key, &record);
+        if serde_json::to_vec(&record).map_or(0, |b| b.len()) + 64 > self.settings.value_bytes {
+            return MeshAnswer::Unavailable;
+        }
+        match self
+            .write(
+                Urgency::Accept,
+                guards,
+                vec![change],
+                Micros::from_millis(1_500),
+            )
+            .await
+        {
+            Written::Done(_) => MeshAnswer::Accepted,
+            Written::Conflict => MeshAnswer::Known,
+            Written::NotDone => MeshAnswer::Unavailable,
+            // Read again, never assume.
+            Written::Unknown => {
+                if self.barrier().await && self.known(&request.id).is_some() {
+                    MeshAnswer::Known
+                } else {
+                    MeshAnswer::Unavailable
+                }
+            }
+        }
+    }
+
+    /// The admission test, by the owner of the job's partition.
+    pub async fn admit(self: &Rc<Self>, request: JobRequest) -> MeshAnswer {
+        if self.known(&request.id).is_some() {
+            return MeshAnswer::Known;
+        }
+        let now = self.now();
+        let verdict = {
+            let mut guarded = self.state.borrow_mut();
+            let state = &mut *guarded;
+            if !state.authority.holds(now) {
+                return MeshAnswer::Unavailable;
+            }
+            let Some(p) = self.partition_of(&request.team) else {
+                return MeshAnswer::Unavailable;
+            };
+            let Some(specs) = &state.specs else {
+                return MeshAnswer::Unavailable;
+            };
+            let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
+            let Some(partition) = state.partitions.get(&p) else {
+                return MeshAnswer::Unavailable;
+            };
+            if state.first_asked.len() > ASKED_MAX {
+                state
+                    .first_asked
+                    .retain(|_, t| now - *t < Micros::from_secs(90));
+            }
+            let asked = state.first_asked.get(&request.id).copied().unwrap_or(now);
+            let verdict = partition.admit(&request, asked, now, (4, boot.scale(1.3)));
+            if verdict == Verdict::Refuse && state.first_asked.len() <= ASKED_MAX {
+                state.first_asked.insert(request.id.clone(), asked);
+            }
+            (verdict, p, partition.since)
+        };
+        match verdict {
+            (Verdict::Admit, p, since) => self.create(&request, Some((p, since))).await,
+            (Verdict::Refuse, ..) => {
+                if !self.barrier().await {
+                    MeshAnswer::Unavailable
+                } else if self.known(&request.id).is_some() {
+                    MeshAnswer::Known
+                } else {
+                    tracing::debug!(job = %request.id, "refused");
+                    MeshAnswer::Refused {
+                        retry_after_s: REFUSED_RETRY_S,
+                    }
+                }
+            }
+        }
+    }
+
+    async fn poll(self: &Rc<Self>, id: &str) -> Response {
+        let Some(id) = JobId::parse(id) else {
+            return error(404, "no such job");
+        };
+        let status = |(phase, done, running, _): (JobPhase, u32, u32, bool)| {
+            json(
+                200,
+                &JobStatus {
+                    id: id.as_str(),
+                    phase,
+                    done,
+                    running,
+                },
+            )
+        };
+        // Final phases are final: any mirror may say them.
+        if let Some(view @ (.., true)) = self.known(&id) {
+            return status(view);
+        }
+        let owner = self.other_owner(&id);
+        let counts = async {
+            match owner {
+                Some(address) => {
+                    self.ask(
+                        address,
+                        MeshRequest::Counts(id.clone()),
+                        Micros::from_millis(300),
+                    )
+                    .await
+                }
+                None => None,
+            }
+        };
+        let (fine, counts) = tokio::join!(self.barrier(), counts);
+        if !fine {
+            return later("state unknown");
+        }
+        match (self.known(&id), counts) {
+            (
+                Some((JobPhase::Pending, _, _, false)),
+                Some(MeshAnswer::Counts { running, done }),
+            ) => {
+                let phase = if running > 0 {
+                    JobPhase::Running
+                } else {
+                    JobPhase::Pending
+                };
+                status((phase, done, running, false))
+            }
+            (Some(view), _) => status(view),
+            (None, _) => error(404, "no such job"),
+        }
+    }
+
+    /// Where the running tasks of an unfinished job can be asked for, if not here.
+    fn other_owner(&self, id: &JobId) -> Option<std::net::SocketAddr> {
+        let state = self.state.borrow();
+        let Some(JobEntry::Active(active)) = state.mirror.job(id) else {
+            return None;
+        };
+        let p = self.partition_of(&active.request.team)?;
+        self.address_of(state.mirror.owner(Role::Partition(p))?)
+    }
+
+    pub fn counts(&self, id: &JobId) -> MeshAnswer {
+        match self.known(id) {
+            Some((_, done, running, _)) => MeshAnswer::Counts { running, done },
+            None => MeshAnswer::Unavailable,
+        }
+    }
+
+    async fn cancel(self: &Rc<Self>, id: &str) -> Response {
+        let Some(id) = JobId::parse(id) else {
+            return error(404, "no such job");
+        };
+        for _ in 0..4 {
+            let found = {
+                let state = self.state.borrow();
+                match state.mirror.job(&id) {
+                    Some(JobEntry::Final { phase, .. }) => {
+                        return answer(200, &id, phase_of(*phase));
+                    }
+                    Some(JobEntry::Active(a)) => Some((a.version, a.done_count)),
+                    None => None,
+                }
+            };
+            let Some((version, done_count)) = found else {
+                if !self.barrier().await {
+                    return later("state unknown");
+                }
+                if self.known(&id).is_none() {
+                    return error(404, "no such job");
+                }
+                continue;
+            };
+            let record = JobRecord {
+                phase: RecordPhase::Cancelled,
+                done_count,
+                request: None,
+                submitted: None,
+                finished: Vec::new(),
+            };
+            let guards = vec![guard(job_key(&id), version)];
+            let changes = vec![put(job_key(&id), &record)];
+            let limit = Micros::from_millis(1_500);
+            match self.write(Urgency::Cancel, guards, changes, limit).await {
+                Written::Done(_) => {
+                    tracing::info!(job = %id, "cancelled");
+                    return answer(200, &id, JobPhase::Cancelled);
+                }
+                Written::NotDone => break,
+                // Someone else was first, or nobody knows: read again.
+                Written::Conflict | Written::Unknown => {
+                    if !self.barrier().await {
+                        break;
+                    }
+                }
+            }
+        }
+        later("can't decide now")
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-control/src/workers.rs
@@ -0,0 +1,390 @@
+//! Dealings with workers: their reports, direct orders, results to be written, tokens to be
+//! raised.
+
+use crate::{
+    controller::Inner,
+    mirror::JobEntry,
+    store::{Urgency, Written, guard, put},
+};
+use jasperhill_http::{ClientError, Method, Request, Response};
+use jasperhill_sched::{HostInput, Partition, Reach, Source};
+use jasperhill_wire::{
+    HostId, JobId, Member, Micros, Revision,
+    record::{HostRecord, HostUse, JobRecord, RecordPhase, Role, host_key, job_key, role_key},
+    worker::{Order, Report, orders_body, redirect_body},
+};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc};
+
+fn unavailable() -> Response {
+    Response::new(503, b"{\"error\":\"not entitled to answer\"}".to_vec()).retry_after(1)
+}
+
+fn redirect(to: Option<&Member>) -> Response {
+    Response::new(421, redirect_body(to))
+}
+
+impl Inner {
+    /// A worker's report. Only the owner of its partition answers 200, and only with authority.
+    pub fn hello(self: &Rc<Self>, body: &[u8]) -> Response {
+        let report = match Report::parse(body) {
+            Ok(report) => report,
+            Err(error) => {
+                tracing::warn!(%error, "a report that is not understood");
+                return Response::new(
+                    400,
+                    format!(
+                        "{{\"error\":{}}}",
+                        serde_json::Value::from(error.to_string())
+                    )
+                    .into_bytes(),
+                );
+            }
+        };
+        if !self.has_authority() {
+            return unavailable();
+        }
+        let now = self.now();
+        let mut guarded = self.state.borrow_mut();
+        let state = &mut *guarded;
+        let Some(kept) = state.mirror.hosts.get(&report.host) else {
+            if state.leader.is_some() {
+                drop(guarded);
+                self.clone().spawn(self.clone().adopt(report));
+                return unavailable();
+            }
+            return self.redirect_to(state.mirror.owner(Role::Leader));
+        };
+        let Some(p) = kept.value.partition() else {
+            return redirect(None);
+        };
+        let Some(partition) = state.partitions.get_mut(&p) else {
+            return self.redirect_to(state.mirror.owner(Role::Partition(p)));
+        };
+        partition.on_report(&report, Source::Hello, now);
+        let orders = partition.orders(&report.host);
+        let Some(token) = partition.hosts.get(&report.host).map(|h| h.token) else {
+            return unavailable();
+        };
+        // Asked again: this answer renews a lease and carries orders.
+        if !state.authority.holds(self.now()) {
+            return unavailable();
+        }
+        partition.apply(&report.host, HostInput::Answered(&orders), now);
+        if partition.changed {
+            self.wake_pass.notify_one();
+        }
+        Response::new(200, orders_body(token, None, &orders))
+    }
+
+    fn redirect_to(&self, owner: Option<&Member>) -> Response {
+        match owner {
+            Some(owner) if owner != &self.settings.member => redirect(Some(owner)),
+            _ => unavailable(),
+        }
+    }
+
+    /// A machine without a record reports to the leader: it gets one, and a partition.
+    async fn adopt(self: Rc<Self>, report: Report) {
+        let prepared = {
+            let mut guarded = self.state.borrow_mut();
+            let state = &mut *guarded;
+            let Some(specs) = state.specs.clone() else {
+                return;
+            };
+            if !specs.contains_key(&report.kind)
+                || report.address.parse::<SocketAddr>().is_err()
+                || !state.bumping.insert(report.host.clone())
+            {
+                return;
+            }
+            let partition = self.neediest(state, report.spot);
+            state.leader.as_mut().map(|leader| {
+                leader.booting.remove(&report.host);
+                let record = HostRecord {
+                    usage: HostUse::Partition(partition),
+                    address: report.address.clone(),
+                    kind: report.kind.clone(),
+                    zone: report.zone.clone(),
+                    spot: report.spot,
+                    bump: 0,
+                };
+                let guards = vec![
+                    guard(role_key(Role::Leader), leader.since),
+                    guard(host_key(&report.host), Revision(0)),
+                ];
+                (guards, put(host_key(&report.host), &record), partition)
+            })
+        };
+        if let Some((guards, change, partition)) = prepared {
+            let done = self
+                .write(Urgency::Finish, guards, vec![change], Micros::from_secs(3))
+                .await;
+            if matches!(done, Written::Done(_)) {
+                tracing::info!(host = %report.host, partition, "host taken on");
+            }
+        }
+        self.state.borrow_mut().bumping.remove(&report.host);
+    }
+
+    /// Sends what is outstanding straight to the worker, one request at a time per host.
+    pub async fn direct(self: Rc<Self>, p: u32, id: HostId) {
+        let Some((address, since, tenure)) = ({
+            let state = self.state.borrow();
+            state.partitions.get(&p).and_then(|part| {
+                let host = part.hosts.get(&id)?;
+                if host.in_flight() || host.in_doubt() {
+                    return None;
+                }
+                Some((
+                    host.address.parse::<SocketAddr>().ok()?,
+                    part.since,
+                    host.tenure,
+                ))
+            })
+        }) else {
+            return;
+        };
+        let limit = Micros::from_secs(3);
+        if tenure.is_none() {
+            let request = Request::new(Method::Get, "/inspect", Vec::new());
+            match self.call(address, request, limit).await {
+                Ok(answer) if answer.status == 200 => self.feed(p, since, &id, &answer.body),
+                _ => return,
+            }
+        }
+        let Some((body, starts)) = self.prepare_direct(p, since, &id) else {
+            return;
+        };
+        let request = Request::new(Method::Post, "/do", body);
+        let answer = self.call(address, request, limit).await;
+        let now = self.now();
+        if let Some(partition) = self.state.borrow_mut().partitions.get_mut(&p)
+            && partition.since == since
+        {
+            let input = match &answer {
+                Ok(a) if matches!(a.status, 200 | 400 | 409) => HostInput::DirectSettled,
+                Err(ClientError::NotSent) => HostInput::DirectSettled,
+                _ => {
+                    tracing::debug!(host = %id, starts, "direct orders in doubt");
+                    HostInput::DirectUnanswered
+                }
+            };
+            partition.apply(&id, input, now);
+        }
+        if let Ok(answer) = answer
+            && matches!(answer.status, 200 | 409)
+        {
+            self.feed(p, since, &id, &answer.body);
+        }
+        self.wake_pass.notify_one();
+    }
+
+    fn prepare_direct(&self, p: u32, since: Revision, id: &HostId) -> Option<(Vec<u8>, usize)> {
+        let now = self.now();
+        let mut guarded = self.state.borrow_mut();
+        let state = &mut *guarded;
+        // Asked at every order: the process may have been stalled since the last one.
+        if !state.authority.holds(now) {
+            return None;
+        }
+        let partition = state
+            .partitions
+            .get_mut(&p)
+            .filter(|part| part.since == since)?;
+        let orders = partition.orders(id);
+        let host = partition.hosts.get(id)?;
+        let (tenure, token) = (host.tenure?, host.token);
+        let pressing = orders.iter().any(|o| !matches!(o, Order::Forget(..)));
+        let unfenced = matches!(host.reach, Reach::Unfenced { .. });
+        if host.in_flight() || host.in_doubt() || !(pressing || unfenced) {
+            return None;
+        }
+        let body = orders_body(token, Some(tenure), &orders);
+        let count = orders.len();
+        partition.apply(id, HostInput::DirectSent(orders), now);
+        Some((body, count))
+    }
+
+    fn feed(&self, p: u32, since: Revision, id: &HostId, body: &[u8]) {
+        let now = self.now();
+        match Report::parse(body) {
+            Ok(report) if &report.host == id => {
+                if let Some(partition) = self.state.borrow_mut().partitions.get_mut(&p)
+                    && partition.since == since
+                {
+                    partition.on_report(&report, Source::Direct, now);
+                }
+            }
+            Ok(report) => tracing::warn!(host = %id, other = %report.host, "another host answers"),
+            Err(error) => tracing::warn!(host = %id, %error, "an answer that is not understood"),
+        }
+    }
+
+    /// Writes results. What is only partly done can wait a little, and then goes together.
+    pub fn save_results(self: Rc<Self>) {
+        let now = self.now();
+        let mut due = Vec::new();
+        {
+            let mut guarded = self.state.borrow_mut();
+            let state = &mut *guarded;
+            for partition in state.partitions.values_mut() {
+                for id in std::mem::take(&mut partition.unsaved) {
+                    let Some(job) = partition.jobs.get(&id) else {
+                        continue;
+                    };
+                    let whole = job.done.is_full();
+                    if job.unsaved.is_empty() || job.ending.is_some() || (job.is_gang() && !whole) {
+                        continue;
+                    }
+                    if state.saving.contains(&id) || state.saving.len() > 100 {
+                        partition.unsaved.insert(id);
+                        continue;
+                    }
+                    state.saving.insert(id.clone());
+                    due.push((partition.id, id, whole));
+                }
+            }
+        }
+        let _ = now;
+        for (p, id, whole) in due {
+            self.clone().spawn(self.clone().save(p, id, whole));
+        }
+    }
+
+    async fn save(self: Rc<Self>, p: u32, id: JobId, whole: bool) {
+        if !whole {
+            tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+        }
+        let prepared = {
+            let state = self.state.borrow();
+            match (state.partitions.get(&p), state.mirror.job(&id)) {
+                (Some(partition), Some(JobEntry::Active(active))) => self
+                    .result_record(partition, &id, active)
+                    .map(|(record, tasks)| {
+                        let guards = vec![
+                            guard(role_key(Role::Partition(p)), partition.since),
+                            guard(job_key(&id), active.version),
+                        ];
+                        (
+                            guards,
+                            put(job_key(&id), &record),
+                            tasks,
+                            record.phase,
+                            partition.since,
+                        )
+                    }),
+                _ => None,
+            }
+        };
+        let mut saved = true;
+        if let Some((guards, change, tasks, phase, since)) = prepared {
+            let urgency = if phase == RecordPhase::Done {
+                Urgency::Finish
+            } else {
+                Urgency::Rest
+            };
+            let done = self
+                .write(urgency, guards, vec![change], Micros::from_secs(20))
+                .await;
+            saved = matches!(done, Written::Done(_));
+            if saved {
+                if let Some(partition) = self.state.borrow_mut().partitions.get_mut(&p)
+                    && partition.since == since
+                {
+                    partition.saved(&id, &tasks);
+                }
+            } else {
+                // The next try goes by what the mirror then shows.
+                self.barrier().await;
+            }
+        }
+        let mut state = self.state.borrow_mut();
+        state.saving.remove(&id);
+        if let Some(partition) = state.partitions.get_mut(&p)
+            && partition
+                .jobs
+                .get(&id)
+                .is_some_and(|j| !j.unsaved.is_empty() && j.ending.is_none())
+        {
+            partition.unsaved.insert(id);
+            if saved {
+                self.wake_pass.notify_one();
+            }
+        }
+    }
+
+    fn result_record(
+        &self,
+        partition: &Partition,
+        id: &JobId,
+        active: &crate::mirror::ActiveJob,
+    ) -> Option<(JobRecord, BTreeSet<u32>)> {
+        let job = partition.jobs.get(id)?;
+        if job.done.is_full() {
+            let record = JobRecord {
+                phase: RecordPhase::Done,
+                done_count: job.done.count(),
+                request: None,
+                submitted: None,
+                finished: Vec::new(),
+            };
+            return Some((record, job.unsaved.clone()));
+        }
+        if job.is_gang() {
+            return None;
+        }
+        let most = (self.settings.value_bytes.saturating_sub(1_800) / 7).max(2);
+        let finished = job.done.to_runs(most);
+        let durable = jasperhill_sched::DoneSet::from_runs(job.request.tasks, &finished);
+        let tasks: BTreeSet<u32> = job
+            .unsaved
+            .iter()
+            .copied()
+            .filter(|i| durable.contains(*i))
+            .collect();
+        let record = JobRecord {
+            phase: RecordPhase::Active,
+            done_count: durable.count(),
+            request: Some((*active.request).clone()),
+            submitted: Some(active.submitted),
+            finished,
+        };
+        Some((record, tasks))
+    }
+
+    /// Rewrites the records of hosts with orders in doubt, which raises their tokens: late
+    /// direct orders then die at the worker.
+    pub fn bump_tokens(self: &Rc<Self>) {
+        let mut due = Vec::new();
+        {
+            let mut guarded = self.state.borrow_mut();
+            let state = &mut *guarded;
+            for (p, partition) in &state.partitions {
+                for host in partition.hosts.values().filter(|h| h.needs_token()) {
+                    if let Some(kept) = state.mirror.hosts.get(&host.id)
+                        && state.bumping.insert(host.id.clone())
+                    {
+                        due.push((*p, partition.since, host.id.clone(), kept.clone()));
+                    }
+                }
+            }
+        }
+        for (p, since, id, kept) in due {
+            let inner = self.clone();
+            self.clone().spawn(async move {
+                let mut record = kept.value;
+                record.bump += 1;
+                let guards = vec![
+                    guard(role_key(Role::Partition(p)), since),
+                    guard(host_key(&id), kept.version),
+                ];
+                let change = put(host_key(&id), &record);
+                // Done: the mirror hands the new revision to the partition.
+                inner
+                    .write(Urgency::Accept, guards, vec![change], Micros::from_secs(5))
+                    .await;
+                inner.state.borrow_mut().bumping.remove(&id);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-sched/src/config.rs
@@ -0,0 +1,135 @@
+//! What the scheduler knows from the settings and from the cloud's machine types.
+
+use jasperhill_wire::{Micros, Name, Resources, cloud::MachineType, user::JobRequest};
+use std::{collections::BTreeMap, rc::Rc};
+
+/// Limits and guarantees of a team; 0 in a dimension means none.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamLimits {
+    pub name: Name,
+    pub guaranteed: Resources,
+    pub most: Resources,
+}
+
+impl TeamLimits {
+    fn within(used: &Resources, bound: &Resources) -> bool {
+        (bound.cpus == 0 || used.cpus <= bound.cpus) && (bound.gpus == 0 || used.gpus <= bound.gpus)
+    }
+    pub fn allows(&self, used: &Resources) -> bool {
+        Self::within(used, &self.most)
+    }
+    pub fn guarantees(&self, used: &Resources) -> bool {
+        (self.guaranteed.cpus > 0 || self.guaranteed.gpus > 0)
+            && Self::within(used, &self.guaranteed)
+    }
+}
+
+/// What the operators may set; the defaults are sound.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// The paper's uncertainty factor on the start delay.
+    pub uncertainty: f64,
+    /// Machines kept beyond the plan, as a part of it.
+    pub headroom: f64,
+    /// How long an idle machine is kept.
+    pub idle_keep: Micros,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            uncertainty: 1.0,
+            headroom: 0.1,
+            idle_keep: Micros::from_secs(20),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct SchedConfig {
+    pub partitions: u32,
+    pub teams: Vec<TeamLimits>,
+    pub report: Micros,
+    pub lease: Micros,
+    pub gang_wait: Micros,
+    pub gang_peer: Micros,
+    pub tuning: Tuning,
+}
+
+impl SchedConfig {
+    /// How long after the last possible answer a worker's tasks are surely gone: its lease,
+    /// and what two drifting clocks and late timers can add.
+    pub fn lapse(&self) -> Micros {
+        self.lease + self.lease.scale(0.002) + Micros::from_millis(400)
+    }
+    pub fn team(&self, name: &Name) -> Option<&TeamLimits> {
+        self.teams.iter().find(|t| &t.name == name)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct MachineSpec {
+    pub kind: Name,
+    pub capacity: Resources,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub boot: Micros,
+    pub price: f64,
+    pub spot_price: f64,
+    pub zones: Vec<Name>,
+}
+
+/// The machine types, by name.
+pub type Specs = BTreeMap<Name, Rc<MachineSpec>>;
+
+pub fn specs(types: &[MachineType]) -> Specs {
+    types
+        .iter()
+        .filter(|t| t.fetch_gb_per_s > 0.0 && t.boot_s.is_finite() && t.cpus.is_finite())
+        .map(|t| {
+            let spec = MachineSpec {
+                kind: t.name.clone(),
+                capacity: Resources::from_units(t.cpus, t.gpus, t.memory_gb),
+                cache_gb: t.cache_gb,
+                fetch_gb_per_s: t.fetch_gb_per_s,
+                boot: Micros::from_secs_f64(t.boot_s),
+                price: t.price,
+                spot_price: t.spot_price.unwrap_or(t.price),
+                zones: t.zones.clone(),
+            };
+            (t.name.clone(), Rc::new(spec))
+        })
+        .collect()
+}
+
+/// Why a job can never run, if so.
+pub fn impossible(
+    request: &JobRequest,
+    config: &SchedConfig,
+    specs: &Specs,
+) -> Option<&'static str> {
+    let Some(team) = config.team(&request.team) else {
+        return Some("tenant: unknown team");
+    };
+    let fits = specs.values().any(|s| {
+        request.allows_type(&s.kind)
+            && request.each.fits(&s.capacity)
+            && request.zone.as_ref().is_none_or(|z| s.zones.contains(z))
+    });
+    if !fits {
+        return Some("hosttypes: a task fits no allowed machine type");
+    }
+    let at_once = match request.shape {
+        jasperhill_wire::user::Shape::Array => 1,
+        _ => u64::from(request.tasks),
+    };
+    if !team.allows(&request.each.times(at_once)) {
+        return Some("shards: more than the team's limit");
+    }
+    None
+}
+
+/// The estimated wait for an image on a machine that does not have it.
+pub fn fetch_time(gb: f64, spec: &MachineSpec) -> Micros {
+    Micros::from_secs_f64(gb / spec.fetch_gb_per_s.max(1e-6))
+}
--- /dev/null
+++ b/crates/jasperhill-sched/src/done.rs
@@ -0,0 +1,99 @@
+//! The set of a job's finished tasks, compact in memory and in its record.
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DoneSet {
+    words: Vec<u64>,
+    len: u32,
+    count: u32,
+}
+
+impl DoneSet {
+    pub fn new(len: u32) -> Self {
+        Self {
+            words: vec![0; len.div_ceil(64) as usize],
+            len,
+            count: 0,
+        }
+    }
+    pub fn contains(&self, i: u32) -> bool {
+        i < self.len && self.words[(i / 64) as usize] >> (i % 64) & 1 == 1
+    }
+    /// True if it was not in the set.
+    pub fn insert(&mut self, i: u32) -> bool {
+        if i >= self.len || self.contains(i) {
+            return false;
+        }
+        self.words[(i / 64) as usize] |= 1 << (i % 64);
+        self.count += 1;
+        true
+    }
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+    pub fn is_full(&self) -> bool {
+        self.count == self.len
+    }
+
+    /// Alternating lengths of runs outside and inside the set, beginning outside; at most
+    /// `most` numbers. What is cut off counts as unfinished: such a task is started again
+    /// and its kept result ends it at once.
+    pub fn to_runs(&self, most: usize) -> Vec<u32> {
+        let mut runs = Vec::new();
+        let (mut inside, mut start) = (false, 0);
+        for i in 0..self.len {
+            if self.contains(i) != inside {
+                runs.push(i - start);
+                (inside, start) = (!inside, i);
+            }
+        }
+        if inside {
+            runs.push(self.len - start);
+        }
+        runs.truncate(most / 2 * 2);
+        runs
+    }
+
+    pub fn from_runs(len: u32, runs: &[u32]) -> Self {
+        let mut set = Self::new(len);
+        let (mut at, mut inside) = (0u32, false);
+        for run in runs {
+            let end = at.saturating_add(*run).min(len);
+            if inside {
+                (at..end).for_each(|i| {
+                    set.insert(i);
+                });
+            }
+            (at, inside) = (end, !inside);
+        }
+        set
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+            failure_persistence: None,
+            ..ProptestConfig::default()
+        })]
+        #[test]
+        fn runs_round_trip(len in 1u32..500, picks in proptest::collection::vec(0u32..500, 0..200)) {
+            let mut set = DoneSet::new(len);
+            for p in picks { set.insert(p); }
+            prop_assert_eq!(&DoneSet::from_runs(len, &set.to_runs(usize::MAX)), &set);
+            // A shortened record never claims a task that is not done.
+            let cut = DoneSet::from_runs(len, &set.to_runs(6));
+            prop_assert!((0..len).all(|i| !cut.contains(i) || set.contains(i)));
+        }
+
+        #[test]
+        fn any_runs_are_read(len in 1u32..300, runs in proptest::collection::vec(any::<u32>(), 0..20)) {
+            let set = DoneSet::from_runs(len, &runs);
+            prop_assert_eq!(set.count(), (0..len).filter(|i| set.contains(*i)).count() as u32);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -0,0 +1,86 @@
+//! The fleet plan: how many hosts each partition needs, from the job records alone, so that
+//! every controller comes to the same answer.
+
+use crate::{
+    config::{SchedConfig, Specs},
+    done::DoneSet,
+};
+use jasperhill_wire::{
+    Micros, Name,
+    user::{JobRequest, Shape},
+};
+use std::collections::BTreeMap;
+
+/// What the plan looks at of each unfinished job.
+#[derive(Clone, Debug)]
+pub struct Demand<'a> {
+    pub request: &'a JobRequest,
+    pub partition: u32,
+    pub unfinished: u32,
+    /// Time to the deadline.
+    pub left: Option<Micros>,
+}
+
+pub fn unfinished(request: &JobRequest, finished: &[u32]) -> u32 {
+    request.tasks - DoneSet::from_runs(request.tasks, finished).count()
+}
+
+/// Hosts needed, as fractions that add up.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Need {
+    /// Work that must run on ordinary machines.
+    pub ordinary: f64,
+    /// Work that may run on spot machines.
+    pub flexible: f64,
+}
+
+impl Need {
+    pub fn total(&self) -> f64 {
+        self.ordinary + self.flexible
+    }
+}
+
+/// The need of every partition.
+pub fn plan(demands: &[Demand<'_>], config: &SchedConfig, specs: &Specs) -> Vec<Need> {
+    let mut needs = vec![Need::default(); config.partitions as usize];
+    // Team limits bound what can run at once.
+    let mut by_team: BTreeMap<&Name, u64> = BTreeMap::new();
+    for d in demands {
+        let r = d.request;
+        let Some(spec) = specs
+            .values()
+            .find(|s| r.allows_type(&s.kind) && r.each.fits(&s.capacity))
+        else {
+            continue;
+        };
+        let mut tasks = u64::from(d.unfinished);
+        if let Some(team) = config.team(&r.team) {
+            let gpus = by_team.entry(&r.team).or_default();
+            if let Some(room) = team
+                .most
+                .gpus
+                .saturating_sub(*gpus)
+                .checked_div(r.each.gpus)
+                && team.most.gpus > 0
+            {
+                tasks = tasks.min(room);
+            }
+            *gpus += tasks * r.each.gpus;
+        }
+        let per_host = r.each.count_in(&spec.capacity).clamp(1, 1 << 20) as f64;
+        let mut share = tasks as f64 / per_host;
+        if let (Some(left), Shape::Array) = (d.left, r.shape) {
+            // Time for several rounds saves machines.
+            let rounds = left.as_secs_f64() / r.estimate.as_secs_f64().max(1.0);
+            share /= rounds.clamp(1.0, 2.0);
+        }
+        if let Some(need) = needs.get_mut(d.partition as usize) {
+            if r.spot {
+                need.flexible += share
+            } else {
+                need.ordinary += share
+            }
+        }
+    }
+    needs
+}
--- /dev/null
+++ b/crates/jasperhill-sched/src/host.rs
@@ -0,0 +1,523 @@
+//! The host machine: what a worker runs, may run and has been told. Every change of its
+//! state goes through [`Host::apply`].
+
+use crate::config::{MachineSpec, SchedConfig};
+use jasperhill_wire::{
+    Attempt, HostId, JobId, Micros, Name, Resources, TaskId, Token,
+    record::{HostRecord, HostUse},
+    worker::{Cause, Order, Report, TaskPhase},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+/// How well a host is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Has not shown our token yet. `ghosts`: a predecessor may have started anything there.
+    Unfenced { ghosts: bool },
+    /// Has shown our token: its reports say all that runs there.
+    Fenced,
+    /// Its lease has surely lapsed: nothing runs there.
+    Lapsed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    Hello,
+    Direct,
+}
+
+/// Where a task stands on a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskState {
+    /// Told to start, not yet reported.
+    Ordered,
+    Fetching,
+    Waiting,
+    Running,
+    Saving,
+    Exited(Cause),
+}
+
+#[derive(Clone, Debug)]
+pub struct HostTask {
+    pub attempt: Attempt,
+    pub state: TaskState,
+    pub each: Resources,
+    /// When it was ordered.
+    pub ordered: Micros,
+    /// When it was first seen running.
+    pub running: Option<Micros>,
+    /// Told to stop: with which grace, since when.
+    pub stopping: Option<(Micros, Micros)>,
+    /// A `run` went out in the answer to a report that the worker has not followed up yet.
+    answered: bool,
+}
+
+impl HostTask {
+    /// Holds resources, or may.
+    pub fn is_on(&self) -> bool {
+        !matches!(self.state, TaskState::Exited(_))
+    }
+}
+
+/// Orders sent directly whose fate is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doubt {
+    None,
+    /// The host's record must be rewritten to raise the token.
+    NeedsToken,
+    /// Over once the host shows this token.
+    Until(Token),
+}
+
+#[derive(Debug)]
+pub enum HostInput<'a> {
+    Report(&'a Report, Source),
+    /// A report was answered 200 with these orders.
+    Answered(&'a [Order]),
+    /// Orders go out directly.
+    DirectSent(Vec<Order>),
+    /// The direct orders were executed, or surely were not (their report comes separately).
+    DirectSettled,
+    /// No answer: they may be executed at any time.
+    DirectUnanswered,
+    /// The record was rewritten.
+    TokenRaised(Token),
+    /// The lease has surely lapsed, or the machine is gone.
+    Gone,
+    /// Start this task.
+    Start(TaskId, Attempt, Resources),
+    /// Stop this task.
+    Stop(&'a TaskId, Micros),
+}
+
+/// What became of a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HostOutput {
+    /// On the host without our having known.
+    Found(TaskId, Attempt),
+    Running(TaskId),
+    /// Not on the host any more. `None`: lost.
+    Ended(TaskId, Option<Cause>),
+    Fenced,
+}
+
+#[derive(Debug)]
+pub struct Host {
+    pub id: HostId,
+    pub address: String,
+    pub spec: Rc<MachineSpec>,
+    pub zone: Name,
+    pub spot: bool,
+    pub usage: HostUse,
+    pub token: Token,
+    pub reach: Reach,
+    pub tenure: Option<u64>,
+    counter: u64,
+    pub tasks: BTreeMap<TaskId, HostTask>,
+    /// Exited tasks of earlier attempts, still listed by the worker.
+    stale: BTreeSet<(TaskId, Attempt)>,
+    doubt: Doubt,
+    doubted: BTreeSet<(TaskId, Attempt)>,
+    flight: Option<Vec<(TaskId, Attempt)>>,
+    pub last_heard: Micros,
+    /// The last moment at which anyone can have renewed its lease.
+    pub last_answer: Micros,
+    pub notice: Option<Micros>,
+    /// Images seen there, the most recent last.
+    pub images: Vec<(Name, f64)>,
+    /// Admitted tasks booked here, in order of adjusted deadline.
+    pub queue: Vec<crate::forward::Booking>,
+    /// When it last became empty.
+    pub idle_since: Option<Micros>,
+    /// Errors in a row, and set aside until.
+    pub errors: u32,
+    pub aside_until: Option<Micros>,
+    /// Run times against expectation, smoothed; above 1 is slow.
+    pub slowness: f64,
+}
+
+impl Host {
+    pub fn new(
+        id: HostId,
+        record: &HostRecord,
+        spec: Rc<MachineSpec>,
+        token: Token,
+        ghosts: bool,
+        now: Micros,
+    ) -> Self {
+        Self {
+            id,
+            address: record.address.clone(),
+            spec,
+            zone: record.zone.clone(),
+            spot: record.spot,
+            usage: record.usage,
+            token,
+            reach: Reach::Unfenced { ghosts },
+            tenure: None,
+            counter: 0,
+            tasks: BTreeMap::new(),
+            stale: BTreeSet::new(),
+            doubt: Doubt::None,
+            doubted: BTreeSet::new(),
+            flight: None,
+            last_heard: now,
+            last_answer: now,
+            notice: None,
+            images: Vec::new(),
+            queue: Vec::new(),
+            idle_since: Some(now),
+            errors: 0,
+            aside_until: None,
+            slowness: 1.0,
+        }
+    }
+
+    pub fn has_ghosts(&self) -> bool {
+        self.reach == Reach::Unfenced { ghosts: true }
+    }
+    pub fn needs_token(&self) -> bool {
+        self.doubt == Doubt::NeedsToken
+    }
+    pub fn in_doubt(&self) -> bool {
+        self.doubt != Doubt::None
+    }
+    pub fn in_flight(&self) -> bool {
+        self.flight.is_some()
+    }
+    /// Nothing runs, may run or is booked there.
+    pub fn is_empty(&self) -> bool {
+        self.tasks.values().all(|t| !t.is_on())
+            && self.doubt == Doubt::None
+            && self.flight.is_none()
+            && !self.has_ghosts()
+    }
+
+    /// May get new tasks.
+    pub fn is_usable(&self, now: Micros, config: &SchedConfig) -> bool {
+        self.reach == Reach::Fenced
+            && matches!(self.usage, HostUse::Partition(_))
+            && self.notice.is_none()
+            && self.doubt == Doubt::None
+            && self.aside_until.is_none_or(|t| now >= t)
+            && now - self.last_heard < config.report.scale(2.5) + Micros::from_secs(1)
+    }
+
+    pub fn used(&self) -> Resources {
+        self.tasks
+            .values()
+            .filter(|t| t.is_on())
+            .fold(Resources::default(), |sum, t| sum + t.each)
+    }
+    pub fn room(&self) -> Resources {
+        let mut room = self.spec.capacity;
+        room -= self.used();
+        room
+    }
+    pub fn has_image(&self, image: &Name) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    /// Remembers an image as the most recently used and drops what no longer fits the cache.
+    pub fn touch_image(&mut self, image: &Name, gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.clone(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > self.spec.cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    /// Whether a direct `run` of this attempt may still be executed.
+    fn may_start_later(&self, task: &TaskId, attempt: Attempt) -> bool {
+        let key = (task.clone(), attempt);
+        self.doubted.contains(&key) || self.flight.as_ref().is_some_and(|f| f.contains(&key))
+    }
+
+    /// All outstanding orders. Level-triggered: repeated until the reports show the effect.
+    /// `durable` says whether a finished task's result is safe.
+    pub fn orders(&self, durable: impl Fn(&TaskId, Cause) -> bool) -> Vec<Order> {
+        let mut out = Vec::new();
+        for (task, attempt) in &self.stale {
+            // Guards against `clear` before a late `run` of the same attempt: the worker
+            // would have forgotten it and start it once more.
+            if !self.may_start_later(task, *attempt) {
+                out.push(Order::Forget(task.clone(), *attempt));
+            }
+        }
+        for (task, t) in &self.tasks {
+            match (t.state, t.stopping) {
+                (TaskState::Exited(cause), _)
+                    if !self.may_start_later(task, t.attempt) && durable(task, cause) =>
+                {
+                    out.push(Order::Forget(task.clone(), t.attempt));
+                }
+                (TaskState::Exited(_), _) => {}
+                (_, Some((grace, _))) => out.push(Order::Stop(task.clone(), t.attempt, grace)),
+                (TaskState::Ordered, None) => out.push(Order::Start(task.clone(), t.attempt)),
+                _ => {}
+            }
+        }
+        out
+    }
+
+    /// The one function that changes a host's state.
+    pub fn apply(&mut self, input: HostInput<'_>, now: Micros) -> Vec<HostOutput> {
+        let mut out = Vec::new();
+        match input {
+            HostInput::Report(report, source) => self.on_report(report, source, now, &mut out),
+            HostInput::Answered(orders) => {
+                self.last_answer = now;
+                for order in orders {
+                    if let Order::Start(task, attempt) = order
+                        && let Some(t) = self.tasks.get_mut(task)
+                        && t.attempt == *attempt
+                    {
+                        t.answered = true;
+                    }
+                }
+            }
+            HostInput::DirectSent(orders) => {
+                let starts = orders.into_iter().filter_map(|o| match o {
+                    Order::Start(task, attempt) => Some((task, attempt)),
+                    _ => None,
+                });
+                self.flight = Some(starts.collect());
+            }
+            HostInput::DirectSettled => self.flight = None,
+            HostInput::DirectUnanswered => {
+                if let Some(flight) = self.flight.take()
+                    && !flight.is_empty()
+                    && self.reach != Reach::Lapsed
+                {
+                    self.doubted.extend(flight);
+                    self.doubt = Doubt::NeedsToken;
+                }
+            }
+            HostInput::TokenRaised(token) => {
+                if token > self.token {
+                    self.token = token;
+                    if self.doubt == Doubt::NeedsToken {
+                        self.doubt = Doubt::Until(token);
+                    }
+                }
+            }
+            HostInput::Gone => {
+                self.drop_all(&mut out);
+                self.reach = Reach::Lapsed;
+            }
+            HostInput::Start(task, attempt, each) => {
+                self.idle_since = None;
+                if let Some(old) = self.tasks.remove(&task) {
+                    self.stale.insert((task.clone(), old.attempt));
+                }
+                let state = HostTask {
+                    attempt,
+                    state: TaskState::Ordered,
+                    each,
+                    ordered: now,
+                    running: None,
+                    stopping: None,
+                    answered: false,
+                };
+                self.tasks.insert(task, state);
+            }
+            HostInput::Stop(task, grace) => {
+                let flown = self.tasks.get(task).is_some_and(|t| {
+                    t.state == TaskState::Ordered
+                        && !t.answered
+                        && !self.may_start_later(task, t.attempt)
+                });
+                if flown {
+                    // Never sent: it can be taken back on the spot.
+                    self.tasks.remove(task);
+                    out.push(HostOutput::Ended(
+                        task.clone(),
+                        Some(Cause::Stopped { saved: false }),
+                    ));
+                } else if let Some(t) = self.tasks.get_mut(task) {
+                    match t.stopping {
+                        None => t.stopping = Some((grace, now)),
+                        Some((old, since)) if grace < old => t.stopping = Some((grace, since)),
+                        Some(_) => {}
+                    }
+                }
+            }
+        }
+        if self.idle_since.is_none() && self.tasks.values().all(|t| !t.is_on()) {
+            self.idle_since = Some(now);
+        }
+        out
+    }
+
+    fn drop_all(&mut self, out: &mut Vec<HostOutput>) {
+        for (task, t) in std::mem::take(&mut self.tasks) {
+            if t.is_on() {
+                out.push(HostOutput::Ended(task, None));
+            }
+        }
+        self.stale.clear();
+        // Late direct orders carry the old tenure and die at the worker.
+        self.doubt = Doubt::None;
+        self.doubted.clear();
+    }
+
+    fn on_report(
+        &mut self,
+        report: &Report,
+        source: Source,
+        now: Micros,
+        out: &mut Vec<HostOutput>,
+    ) {
+        let order = (report.tenure, report.counter);
+        if self.tenure.is_some_and(|t| order <= (t, self.counter)) {
+            // Late: as old as the moment it was sent.
+            return;
+        }
+        if self.tenure.is_some_and(|t| report.tenure > t) {
+            // A larger tenure proves that all earlier tasks are gone.
+            self.drop_all(out);
+        }
+        self.tenure = Some(report.tenure);
+        self.counter = report.counter;
+        self.last_heard = now;
+        self.address.clone_from(&report.address);
+        self.notice = report.notice.map(|n| now + n);
+        if let Doubt::Until(token) = self.doubt
+            && report.token >= token
+        {
+            self.doubt = Doubt::None;
+            self.doubted.clear();
+        }
+        if report.token >= self.token && self.reach != Reach::Fenced {
+            self.reach = Reach::Fenced;
+            out.push(HostOutput::Fenced);
+        }
+        let mut listed = BTreeSet::new();
+        for item in &report.tasks {
+            listed.insert((item.task.clone(), item.attempt));
+            self.on_task(item, now, out);
+        }
+        self.stale.retain(|key| listed.contains(key));
+        let missing: Vec<TaskId> = self
+            .tasks
+            .iter()
+            .filter(|(task, t)| !listed.contains(&((*task).clone(), t.attempt)))
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in missing {
+            let Some(t) = self.tasks.get(&task) else {
+                continue;
+            };
+            let late = self.may_start_later(&task, t.attempt);
+            match t.state {
+                // Cleared.
+                TaskState::Exited(_) => {
+                    self.tasks.remove(&task);
+                }
+                TaskState::Ordered => {
+                    // A report that follows an answer settles it: the worker has executed or
+                    // dropped it. A direct answer may overtake it, and settles nothing.
+                    let answered = t.answered && source == Source::Direct;
+                    if t.stopping.is_some() && !late && !answered {
+                        self.tasks.remove(&task);
+                        out.push(HostOutput::Ended(
+                            task,
+                            Some(Cause::Stopped { saved: false }),
+                        ));
+                    } else if source == Source::Hello
+                        && let Some(t) = self.tasks.get_mut(&task)
+                    {
+                        t.answered = false;
+                    }
+                }
+                _ => {
+                    self.tasks.remove(&task);
+                    out.push(HostOutput::Ended(task, None));
+                }
+            }
+        }
+    }
+
+    fn on_task(
+        &mut self,
+        item: &jasperhill_wire::worker::TaskReport,
+        now: Micros,
+        out: &mut Vec<HostOutput>,
+    ) {
+        let state = match item.phase {
+            TaskPhase::Fetching => TaskState::Fetching,
+            TaskPhase::Waiting => TaskState::Waiting,
+            TaskPhase::Running => TaskState::Running,
+            TaskPhase::Saving => TaskState::Saving,
+            TaskPhase::Exited(cause) => TaskState::Exited(cause),
+        };
+        match self.tasks.get_mut(&item.task) {
+            Some(t) if t.attempt == item.attempt => {
+                let was_on = t.is_on();
+                let was = t.state;
+                t.state = state;
+                t.answered = false;
+                if state == TaskState::Running && t.running.is_none() {
+                    t.running = Some(now);
+                }
+                if let (true, TaskState::Exited(cause)) = (was_on, state) {
+                    out.push(HostOutput::Ended(item.task.clone(), Some(cause)));
+                } else if state == TaskState::Running && was != state {
+                    out.push(HostOutput::Running(item.task.clone()));
+                }
+            }
+            known => {
+                if let TaskState::Exited(cause) = state {
+                    if known.is_some() {
+                        self.stale.insert((item.task.clone(), item.attempt));
+                        return;
+                    }
+                    // A result from before a takeover counts as well.
+                    self.tasks
+                        .insert(item.task.clone(), Self::found(item.attempt, state, now));
+                    out.push(HostOutput::Found(item.task.clone(), item.attempt));
+                    out.push(HostOutput::Ended(item.task.clone(), Some(cause)));
+                } else {
+                    if let Some(t) = known
+                        && t.is_on()
+                    {
+                        // Another attempt of what we ordered here: the order will be refused as
+                        // busy, so the one that is there is the one that counts.
+                        out.push(HostOutput::Ended(item.task.clone(), None));
+                    }
+                    self.tasks
+                        .insert(item.task.clone(), Self::found(item.attempt, state, now));
+                    out.push(HostOutput::Found(item.task.clone(), item.attempt));
+                    self.idle_since = None;
+                }
+            }
+        }
+    }
+
+    fn found(attempt: Attempt, state: TaskState, now: Micros) -> HostTask {
+        HostTask {
+            attempt,
+            state,
+            each: Resources::default(),
+            ordered: now,
+            running: (state == TaskState::Running).then_some(now),
+            stopping: None,
+            answered: false,
+        }
+    }
+
+    /// Tasks of a job that hold, or may hold, resources here.
+    pub fn tasks_of<'a>(
+        &'a self,
+        job: &'a JobId,
+    ) -> impl Iterator<Item = (&'a TaskId, &'a HostTask)> {
+        self.tasks
+            .iter()
+            .filter(move |(id, t)| &id.job == job && t.is_on())
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-sched/src/job.rs
@@ -0,0 +1,207 @@
+//! The job machine: which tasks of a job are finished, live, booked or pending. Every change
+//! of a task's state goes through [`Job::set`].
+
+use crate::done::DoneSet;
+use jasperhill_wire::{
+    Attempt, HostId, Micros, Name, Resources, Revision,
+    user::{JobRequest, Priority, Shape},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+/// Where a task of a job stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TaskStep {
+    /// Neither finished nor anywhere.
+    Pending,
+    /// Admitted to a host's queue.
+    Booked(HostId),
+    /// On a host, or told to be.
+    Live(HostId),
+    Done,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Cancelled,
+    Done,
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub request: Rc<JobRequest>,
+    /// Revision at which its record was created; jobs newer than a takeover have no ghosts.
+    pub created: Revision,
+    pub submitted: Micros,
+    pub due: Option<Micros>,
+    pub done: DoneSet,
+    /// Finished, but not yet in the record.
+    pub unsaved: BTreeSet<u32>,
+    pub live: BTreeMap<u32, HostId>,
+    pub booked: BTreeMap<u32, HostId>,
+    /// Tasks seen running, for display and for stopping the right one.
+    pub running: BTreeSet<u32>,
+    /// Below this every task is done, live, booked or in `returned`.
+    cursor: u32,
+    returned: BTreeSet<u32>,
+    /// Set when the record has become final: nothing starts any more.
+    pub ending: Option<Ending>,
+    /// Hosts on which its tasks failed, and when to try again.
+    pub failed_on: BTreeSet<HostId>,
+    pub not_before: Micros,
+    pub failures: u32,
+    /// Room is being made there.
+    pub making_room: Option<(HostId, Micros)>,
+    /// The attempt of a gang under way.
+    pub attempt: Option<Attempt>,
+    pub preempted: u32,
+}
+
+impl Job {
+    pub fn new(
+        request: Rc<JobRequest>,
+        created: Revision,
+        submitted: Micros,
+        finished: &[u32],
+    ) -> Self {
+        let done = DoneSet::from_runs(request.tasks, finished);
+        Self {
+            due: request.deadline.map(|d| submitted + d),
+            request,
+            created,
+            submitted,
+            done,
+            unsaved: BTreeSet::new(),
+            live: BTreeMap::new(),
+            booked: BTreeMap::new(),
+            running: BTreeSet::new(),
+            cursor: 0,
+            returned: BTreeSet::new(),
+            ending: None,
+            failed_on: BTreeSet::new(),
+            not_before: Micros::ZERO,
+            failures: 0,
+            making_room: None,
+            attempt: None,
+            preempted: 0,
+        }
+    }
+
+    pub fn step(&self, i: u32) -> TaskStep {
+        if self.done.contains(i) {
+            TaskStep::Done
+        } else if let Some(host) = self.live.get(&i) {
+            TaskStep::Live(host.clone())
+        } else if let Some(host) = self.booked.get(&i) {
+            TaskStep::Booked(host.clone())
+        } else {
+            TaskStep::Pending
+        }
+    }
+
+    /// The one function that changes a task's state. Done is final.
+    pub fn set(&mut self, i: u32, to: TaskStep) {
+        if i >= self.request.tasks || self.done.contains(i) {
+            return;
+        }
+        self.live.remove(&i);
+        self.booked.remove(&i);
+        self.returned.remove(&i);
+        self.running.remove(&i);
+        match to {
+            TaskStep::Pending => {
+                if i < self.cursor {
+                    self.returned.insert(i);
+                }
+            }
+            TaskStep::Booked(host) => {
+                self.booked.insert(i, host);
+                self.pass_cursor();
+            }
+            TaskStep::Live(host) => {
+                self.live.insert(i, host);
+                self.pass_cursor();
+            }
+            TaskStep::Done => {
+                self.done.insert(i);
+                self.unsaved.insert(i);
+            }
+        }
+    }
+
+    fn is_taken(&self, i: u32) -> bool {
+        self.done.contains(i) || self.live.contains_key(&i) || self.booked.contains_key(&i)
+    }
+
+    fn pass_cursor(&mut self) {
+        while self.cursor < self.request.tasks && self.is_taken(self.cursor) {
+            self.cursor += 1;
+        }
+    }
+
+    /// The first task that is neither finished, live nor booked.
+    pub fn next_pending(&mut self) -> Option<u32> {
+        if let Some(i) = self.returned.first() {
+            return Some(*i);
+        }
+        self.pass_cursor();
+        (self.cursor < self.request.tasks).then_some(self.cursor)
+    }
+
+    pub fn pending(&self) -> u32 {
+        self.request.tasks - self.done.count() - self.live.len() as u32 - self.booked.len() as u32
+    }
+
+    pub fn is_gang(&self) -> bool {
+        self.request.shape == Shape::Gang
+    }
+    pub fn is_service(&self) -> bool {
+        self.request.shape == Shape::Service
+    }
+    pub fn is_production(&self) -> bool {
+        self.request.priority == Priority::Production
+    }
+
+    /// Order of importance: production and urgent work by their bands, the rest by deadline;
+    /// without a deadline last, by priority and then age.
+    pub fn rank(&self) -> (u8, u64, Priority, Micros) {
+        let p = self.request.priority;
+        let band = match p {
+            Priority::Production => 0,
+            Priority::High => 1,
+            Priority::Normal | Priority::Low => 2,
+        };
+        (band, self.due.map_or(u64::MAX, |d| d.0), p, self.submitted)
+    }
+
+    /// How many more tasks a zone may hold, given where the others are.
+    pub fn zone_room(&self, zone: &Name, zone_of: impl Fn(&HostId) -> Option<Name>) -> u32 {
+        let r = &self.request;
+        if !r.one_zone && !r.spread {
+            return r.tasks;
+        }
+        let mut here = 0;
+        for host in self.live.values() {
+            match zone_of(host) {
+                Some(z) if &z == zone => here += 1,
+                // One of them is elsewhere, or who knows where.
+                _ if r.one_zone => return 0,
+                _ => {}
+            }
+        }
+        r.zone_cap().saturating_sub(here)
+    }
+
+    /// Resources of what could be running unseen.
+    pub fn unseen(&self) -> Resources {
+        self.request
+            .each
+            .times(u64::from(self.request.tasks - self.done.count()) - self.live.len() as u64)
+    }
+
+    pub fn checkpoints(&self) -> bool {
+        self.request.checkpoint_every > Micros::ZERO
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-sched/src/lib.rs
@@ -0,0 +1,18 @@
+//! The decisions of jasperhill: host queues, the forward run, density, team limits, gangs,
+//! preemption and the fleet plan. Pure: time is passed in, nothing here reads a clock or
+//! does I/O.
+
+pub mod config;
+pub mod done;
+pub mod fleet;
+pub mod forward;
+pub mod host;
+pub mod job;
+pub mod partition;
+pub mod pass;
+pub mod split;
+
+pub use config::{MachineSpec, SchedConfig, TeamLimits, Tuning};
+pub use done::DoneSet;
+pub use host::{Host, HostInput, Reach, Source};
+pub use partition::{Partition, Verdict};
--- /dev/null
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -0,0 +1,519 @@
+//! A partition: the teams, jobs and hosts that one controller decides about. Owns the host
+//! and job machines and keeps them consistent with each other.
+
+use crate::{
+    config::{SchedConfig, Specs},
+    host::{Host, HostInput, HostOutput, Source, TaskState},
+    job::{Ending, Job, TaskStep},
+};
+use jasperhill_wire::{
+    Attempt, HostId, JobId, Micros, Name, Resources, Revision, TaskId, Token,
+    record::{HostRecord, HostUse},
+    user::{JobRequest, Shape},
+    worker::{Cause, Order, Report},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+/// The answer of the admission test.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Admit,
+    Refuse,
+}
+
+/// Something that operators want to read about.
+#[derive(Clone, Debug)]
+pub enum Note {
+    HostLost(HostId),
+    HostAside(HostId),
+    Stopped(TaskId, HostId, &'static str),
+    Strange(TaskId, HostId, &'static str),
+}
+
+pub struct Partition {
+    pub id: u32,
+    /// Revision at which the present ownership began.
+    pub since: Revision,
+    pub config: Rc<SchedConfig>,
+    pub specs: Rc<Specs>,
+    pub jobs: BTreeMap<JobId, Job>,
+    pub hosts: BTreeMap<HostId, Host>,
+    pub(crate) used: BTreeMap<Name, Resources>,
+    /// Run time over estimate by class, smoothed.
+    pub(crate) ratios: BTreeMap<Name, f64>,
+    attempts: u64,
+    /// Hosts with new orders to be sent directly.
+    pub dirty: BTreeSet<HostId>,
+    /// Jobs with results to be written.
+    pub unsaved: BTreeSet<JobId>,
+    pub notes: Vec<Note>,
+    /// Something changed that a pass could make use of.
+    pub changed: bool,
+}
+
+/// Attempts are unique by construction: the ownership's revision, then a counter.
+const ATTEMPT_BITS: u32 = 22;
+
+impl Partition {
+    pub fn new(id: u32, since: Revision, config: Rc<SchedConfig>, specs: Rc<Specs>) -> Self {
+        Self {
+            id,
+            since,
+            config,
+            specs,
+            jobs: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            used: BTreeMap::new(),
+            ratios: BTreeMap::new(),
+            attempts: 0,
+            dirty: BTreeSet::new(),
+            unsaved: BTreeSet::new(),
+            notes: Vec::new(),
+            changed: true,
+        }
+    }
+
+    /// Grows across takeovers, because revisions do; also for tasks nobody has reported yet.
+    pub(crate) fn next_attempt(&mut self) -> Attempt {
+        self.attempts += 1;
+        debug_assert!(self.attempts < 1 << ATTEMPT_BITS);
+        Attempt((self.since.0 << ATTEMPT_BITS) + self.attempts)
+    }
+
+    /// Some host may run what a predecessor started.
+    pub fn has_ghosts(&self) -> bool {
+        self.hosts.values().any(Host::has_ghosts)
+    }
+
+    /// A task of this job may be running unseen.
+    pub(crate) fn is_haunted(&self, job: &Job, ghosts: bool) -> bool {
+        ghosts && job.created <= self.since
+    }
+
+    pub fn upsert_job(
+        &mut self,
+        request: &Rc<JobRequest>,
+        created: Revision,
+        submitted: Micros,
+        finished: &[u32],
+    ) {
+        if !self.jobs.contains_key(&request.id) {
+            let job = Job::new(request.clone(), created, submitted, finished);
+            self.jobs.insert(request.id.clone(), job);
+            self.changed = true;
+        }
+    }
+
+    /// The job's record has become final: whatever is left of it is stopped.
+    pub fn end_job(&mut self, id: &JobId, ending: Ending, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.ending.is_none() {
+            job.ending = Some(ending);
+            let booked: Vec<u32> = job.booked.keys().copied().collect();
+            for i in booked {
+                self.unbook(id, i);
+            }
+            self.stop_all(id, Micros::ZERO, now);
+        }
+        self.unsaved.remove(id);
+        self.sweep(id);
+        self.changed = true;
+    }
+
+    /// Forgets an ended job once nothing of it is left.
+    fn sweep(&mut self, id: &JobId) {
+        if self
+            .jobs
+            .get(id)
+            .is_some_and(|j| j.ending.is_some() && j.live.is_empty())
+        {
+            self.jobs.remove(id);
+        }
+    }
+
+    pub fn upsert_host(
+        &mut self,
+        id: &HostId,
+        record: &HostRecord,
+        version: Revision,
+        at_takeover: bool,
+        now: Micros,
+    ) {
+        // The greater of the revisions at which the owner and the host's record were written.
+        let token = Token(version.0.max(self.since.0));
+        let Some(spec) = self.specs.get(&record.kind) else {
+            return;
+        };
+        match self.hosts.get_mut(id) {
+            Some(host) => {
+                host.usage = record.usage;
+                host.apply(HostInput::TokenRaised(token), now);
+            }
+            None => {
+                let host = Host::new(id.clone(), record, spec.clone(), token, at_takeover, now);
+                self.hosts.insert(id.clone(), host);
+                self.dirty.insert(id.clone());
+            }
+        }
+        self.changed = true;
+    }
+
+    /// The record is gone or in another partition: the machine is gone, or was empty.
+    pub fn remove_host(&mut self, id: &HostId, now: Micros) {
+        self.apply(id, HostInput::Gone, now);
+        if let Some(host) = self.hosts.remove(id) {
+            for booking in host.queue {
+                self.set_step(&booking.task, TaskStep::Pending);
+            }
+        }
+        self.dirty.remove(id);
+        self.changed = true;
+    }
+
+    pub fn on_report(&mut self, report: &Report, source: Source, now: Micros) {
+        self.apply(&report.host, HostInput::Report(report, source), now);
+    }
+
+    /// Feeds a host and carries its outputs over to the jobs.
+    pub fn apply(&mut self, id: &HostId, input: HostInput<'_>, now: Micros) {
+        let Some(host) = self.hosts.get_mut(id) else {
+            return;
+        };
+        for output in host.apply(input, now) {
+            self.changed = true;
+            match output {
+                HostOutput::Fenced => {}
+                HostOutput::Running(task) => {
+                    if let Some(job) = self.jobs.get_mut(&task.job) {
+                        job.running.insert(task.index);
+                        if let Some(host) = self.hosts.get_mut(id) {
+                            host.touch_image(&job.request.image, job.request.image_gb);
+                        }
+                    }
+                }
+                HostOutput::Found(task, attempt) => self.found(id, &task, attempt, now),
+                HostOutput::Ended(task, cause) => self.ended(id, &task, cause, now),
+            }
+        }
+    }
+
+    fn found(&mut self, id: &HostId, task: &TaskId, attempt: Attempt, now: Micros) {
+        let on = self
+            .hosts
+            .get(id)
+            .and_then(|h| h.tasks.get(task))
+            .is_some_and(|t| t.is_on());
+        if !on {
+            return;
+        }
+        let known = self
+            .jobs
+            .get(&task.job)
+            .map(|j| (j.step(task.index), j.ending, j.attempt));
+        match known {
+            Some((TaskStep::Pending | TaskStep::Booked(_), None, gang))
+                if gang.is_none_or(|a| a == attempt)
+                    && self
+                        .jobs
+                        .get(&task.job)
+                        .is_some_and(|j| task.index < j.request.tasks) =>
+            {
+                self.unbook(&task.job, task.index);
+                self.set_step(task, TaskStep::Live(id.clone()));
+                let Some(job) = self.jobs.get_mut(&task.job) else {
+                    return;
+                };
+                if job.is_gang() {
+                    job.attempt = Some(attempt);
+                }
+                let request = job.request.clone();
+                if let Some(host) = self.hosts.get_mut(id) {
+                    host.touch_image(&request.image, request.image_gb);
+                    if let Some(t) = host.tasks.get_mut(task) {
+                        t.each = request.each;
+                        if t.state == TaskState::Running {
+                            job.running.insert(task.index);
+                        }
+                    }
+                }
+            }
+            _ => {
+                // Finished, cancelled, unknown, or of an attempt that is not the gang's.
+                self.notes.push(Note::Strange(
+                    task.clone(),
+                    id.clone(),
+                    "not expected there",
+                ));
+                self.stop(id, task, Micros::ZERO, now);
+            }
+        }
+    }
+
+    fn ended(&mut self, id: &HostId, task: &TaskId, cause: Option<Cause>, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let here = job.live.get(&task.index) == Some(id);
+        if cause == Some(Cause::Done) && job.request.shape != Shape::Service {
+            // A kept result counts wherever it turns up. A gang completes as one.
+            let all = if job.is_gang() {
+                0..job.request.tasks
+            } else {
+                task.index..task.index + 1
+            };
+            self.learn(id, task, now);
+            for i in all {
+                let task = TaskId::new(&task.job, i);
+                self.unbook(&task.job, i);
+                let live = self
+                    .jobs
+                    .get(&task.job)
+                    .and_then(|j| j.live.get(&i))
+                    .cloned();
+                match live {
+                    // Still on its machine until it says otherwise.
+                    Some(host) if &host != id => {
+                        if let Some(job) = self.jobs.get_mut(&task.job) {
+                            job.unsaved.insert(i);
+                        }
+                    }
+                    _ => self.set_step(&task, TaskStep::Done),
+                }
+            }
+            self.finish_gang(&task.job);
+            self.unsaved.insert(task.job.clone());
+            if let Some(host) = self.hosts.get_mut(id) {
+                host.errors = 0;
+            }
+            self.sweep(&task.job);
+            return;
+        }
+        if !here {
+            return;
+        }
+        let over = job.unsaved.contains(&task.index);
+        if let Some(cause) = cause
+            && !over
+        {
+            match cause {
+                Cause::Error => {
+                    job.failed_on.insert(id.clone());
+                    job.failures += 1;
+                    // A job that fails wherever it runs is its user's mistake: it waits longer
+                    // and longer, and its failures are not held against the hosts.
+                    if job.failed_on.len() >= 3 {
+                        let wait = 1u64 << job.failures.min(5);
+                        job.not_before = now + Micros::from_secs(wait);
+                        if job.failed_on.len() > 8 {
+                            job.failed_on.clear();
+                        }
+                    } else if let Some(host) = self.hosts.get_mut(id) {
+                        host.errors += 1;
+                        if host.errors >= 2 {
+                            host.aside_until = Some(now + Micros::from_secs(60));
+                            self.notes.push(Note::HostAside(id.clone()));
+                        }
+                    }
+                }
+                Cause::NoRoom | Cause::Busy | Cause::Unknown => {
+                    job.not_before = now + Micros::from_secs(1);
+                }
+                _ => {}
+            }
+        }
+        self.set_step(
+            task,
+            if over {
+                TaskStep::Done
+            } else {
+                TaskStep::Pending
+            },
+        );
+        self.finish_gang(&task.job);
+        self.sweep(&task.job);
+    }
+
+    /// A gang's attempt is over once nothing of it is left.
+    fn finish_gang(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.live.is_empty()
+        {
+            job.attempt = None;
+            if job.is_gang() {
+                // Done as one, the unseen parts included.
+                let rest: Vec<u32> = job.unsaved.iter().copied().collect();
+                for i in rest {
+                    job.set(i, TaskStep::Done);
+                }
+            }
+        }
+    }
+
+    /// Compares a finished task's run time with what was expected.
+    fn learn(&mut self, id: &HostId, task: &TaskId, now: Micros) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let Some(host) = self.hosts.get_mut(id) else {
+            return;
+        };
+        let Some(began) = host.tasks.get(task).and_then(|t| t.running) else {
+            return;
+        };
+        let estimate = job.request.estimate.as_secs_f64();
+        if estimate <= 0.0 || job.preempted > 0 || job.failures > 0 {
+            return;
+        }
+        let seen = ((now - began).as_secs_f64() / estimate).clamp(0.2, 5.0);
+        let ratio = self.ratios.entry(job.request.class.clone()).or_insert(1.0);
+        *ratio += 0.05 * (seen - *ratio);
+        host.slowness += 0.2 * ((seen / ratio.max(0.1)).clamp(0.2, 5.0) - host.slowness);
+    }
+
+    /// The estimate, corrected by what was observed of the class.
+    pub fn estimate(&self, request: &JobRequest) -> Micros {
+        request
+            .estimate
+            .scale(self.ratios.get(&request.class).copied().unwrap_or(1.0))
+    }
+
+    /// Changes a task's step and its team's use with it.
+    pub(crate) fn set_step(&mut self, task: &TaskId, to: TaskStep) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let was = job.live.contains_key(&task.index);
+        job.set(task.index, to);
+        let is = job.live.contains_key(&task.index);
+        let (team, each) = (job.request.team.clone(), job.request.each);
+        let used = self.used.entry(team).or_default();
+        if is && !was {
+            *used += each;
+        } else if was && !is {
+            *used -= each;
+        }
+    }
+
+    pub(crate) fn unbook(&mut self, id: &JobId, i: u32) {
+        let Some(host) = self.jobs.get(id).and_then(|j| j.booked.get(&i)).cloned() else {
+            return;
+        };
+        if let Some(host) = self.hosts.get_mut(&host) {
+            host.queue
+                .retain(|b| b.task.index != i || &b.task.job != id);
+        }
+        self.set_step(&TaskId::new(id, i), TaskStep::Pending);
+    }
+
+    pub fn stop(&mut self, host: &HostId, task: &TaskId, grace: Micros, now: Micros) {
+        self.apply(host, HostInput::Stop(task, grace), now);
+        self.dirty.insert(host.clone());
+    }
+
+    pub fn stop_all(&mut self, id: &JobId, grace: Micros, now: Micros) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let live: Vec<(u32, HostId)> = job.live.iter().map(|(i, h)| (*i, h.clone())).collect();
+        for (i, host) in live {
+            self.stop(&host, &TaskId::new(id, i), grace, now);
+        }
+    }
+
+    /// What the team uses, or may be using unseen.
+    pub fn team_use(&self, team: &Name, ghosts: bool) -> Resources {
+        let mut used = self.used.get(team).copied().unwrap_or_default();
+        if ghosts {
+            for job in self.jobs.values() {
+                if &job.request.team == team && self.is_haunted(job, ghosts) {
+                    used += job.unseen();
+                }
+            }
+        }
+        used
+    }
+
+    /// The results of these tasks are in the record.
+    pub fn saved(&mut self, id: &JobId, tasks: &BTreeSet<u32>) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            for i in tasks {
+                if job.done.contains(*i) {
+                    job.unsaved.remove(i);
+                }
+            }
+        }
+    }
+
+    /// Outstanding orders for a host.
+    pub fn orders(&self, id: &HostId) -> Vec<Order> {
+        let Some(host) = self.hosts.get(id) else {
+            return Vec::new();
+        };
+        host.orders(|task, cause| match self.jobs.get(&task.job) {
+            // A result is forgotten by the worker only once the record has it.
+            Some(job) if cause == Cause::Done => {
+                job.done.contains(task.index) && !job.unsaved.contains(&task.index)
+            }
+            _ => true,
+        })
+    }
+
+    /// Hosts whose leases have surely lapsed, and when the next one could.
+    pub fn lapse(&mut self, now: Micros) {
+        let lapse = self.config.lapse();
+        let gone: Vec<HostId> = self
+            .hosts
+            .values()
+            .filter(|h| h.reach != crate::host::Reach::Lapsed && now >= h.last_answer + lapse)
+            .map(|h| h.id.clone())
+            .collect();
+        for id in gone {
+            self.apply(&id, HostInput::Gone, now);
+            self.notes.push(Note::HostLost(id));
+        }
+    }
+
+    /// Puts a host under notice aside: what can save is stopped while there is time.
+    pub(crate) fn drain_noticed(&mut self, now: Micros) {
+        let mut stops = Vec::new();
+        for host in self.hosts.values().filter(|h| h.notice.is_some()) {
+            for (task, t) in &host.tasks {
+                let Some(job) = self.jobs.get(&task.job) else {
+                    continue;
+                };
+                if t.is_on() && t.stopping.is_none() && job.checkpoints() {
+                    stops.push((
+                        host.id.clone(),
+                        task.clone(),
+                        job.request.save,
+                        job.is_gang(),
+                    ));
+                }
+            }
+        }
+        for (host, task, save, gang) in stops {
+            let grace = save + Micros::from_secs(1);
+            self.notes
+                .push(Note::Stopped(task.clone(), host.clone(), "spot notice"));
+            if gang {
+                self.stop_all(&task.job, grace, now);
+            } else {
+                self.stop(&host, &task, grace, now);
+            }
+        }
+    }
+
+    /// The host may be given up: empty, settled and long enough idle.
+    pub fn is_spare(&self, id: &HostId, now: Micros, keep: Micros) -> bool {
+        self.hosts.get(id).is_some_and(|h| {
+            matches!(h.usage, HostUse::Partition(_))
+                && h.is_empty()
+                && h.queue.is_empty()
+                && h.reach == crate::host::Reach::Fenced
+                && h.idle_since.is_some_and(|t| now - t >= keep)
+        })
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -0,0 +1,699 @@
+//! A pass over a partition: admitted work is booked and started, gangs are started whole,
+//! room is made for production. And the admission test.
+
+use crate::{
+    config::fetch_time,
+    forward::{Booking, Occupied, density, insert, misses, remaining},
+    host::{Host, HostInput, TaskState},
+    job::{Job, TaskStep},
+    partition::{Note, Partition, Verdict},
+};
+use jasperhill_wire::{
+    HostId, JobId, Micros, Name, Resources, TaskId,
+    user::{JobRequest, Shape},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Tasks of one job that are booked in one pass; the rest follows in later ones.
+const BOOK_MAX: usize = 256;
+
+/// What a pass keeps track of.
+struct Pass {
+    now: Micros,
+    ghosts: bool,
+    /// Room left on usable hosts.
+    room: BTreeMap<HostId, Resources>,
+    /// Hosts kept free for a waiting gang.
+    reserved: BTreeMap<HostId, JobId>,
+}
+
+impl Pass {
+    fn fits(&self, host: &HostId, job: &JobId, each: &Resources) -> bool {
+        self.room.get(host).is_some_and(|r| each.fits(r))
+            && self.reserved.get(host).is_none_or(|j| j == job)
+    }
+}
+
+/// The expected wait for the image: nothing when the host has it, less when it is coming.
+pub fn start_delay(host: &Host, request: &JobRequest) -> Micros {
+    if host.has_image(&request.image) {
+        return Micros::ZERO;
+    }
+    fetch_time(request.image_gb, &host.spec)
+}
+
+impl Partition {
+    /// Starts what can be started. Call when something has changed, and now and then.
+    pub fn pass(&mut self, now: Micros) {
+        self.changed = false;
+        self.lapse(now);
+        self.mend_gangs(now);
+        self.drain_noticed(now);
+        let config = self.config.clone();
+        let mut pass = Pass {
+            now,
+            ghosts: self.has_ghosts(),
+            room: self
+                .hosts
+                .values()
+                .filter(|h| h.is_usable(now, &config))
+                .map(|h| (h.id.clone(), h.room()))
+                .collect(),
+            reserved: BTreeMap::new(),
+        };
+        self.unbook_unusable(&pass);
+        let mut order: Vec<_> = self
+            .jobs
+            .values()
+            .filter(|j| {
+                j.ending.is_none()
+                    && (j.pending() > 0 || !j.booked.is_empty())
+                    && !self.is_haunted(j, pass.ghosts)
+                    && now >= j.not_before
+            })
+            .map(|j| (j.rank(), j.request.id.clone()))
+            .collect();
+        order.sort();
+        self.keep_made_room(&mut pass);
+        for (_, id) in &order {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            match job.request.shape {
+                Shape::Gang => self.start_gang(&mut pass, id),
+                Shape::Service | Shape::Array if job.due.is_none() => {
+                    self.start_loose(&mut pass, id);
+                }
+                _ => {
+                    self.book(&pass, id);
+                    self.start_booked(&mut pass, id);
+                }
+            }
+        }
+        if !order.is_empty() {
+            // Work waits for time to pass as well: retries, predicted ends.
+            self.notes.truncate(256);
+        }
+    }
+
+    /// A gang that has lost a task stops the rest; a new attempt waits for the last of them.
+    fn mend_gangs(&mut self, now: Micros) {
+        let ghosts = self.has_ghosts();
+        let broken: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|j| {
+                j.is_gang()
+                    && j.ending.is_none()
+                    && !j.live.is_empty()
+                    && j.unsaved.is_empty()
+                    && j.pending() > 0
+                    && !self.is_haunted(j, ghosts)
+            })
+            .map(|j| j.request.id.clone())
+            .collect();
+        for id in broken {
+            self.stop_all(&id, Micros::ZERO, now);
+        }
+    }
+
+    /// Bookings on hosts that can't be used any more are made anew.
+    fn unbook_unusable(&mut self, pass: &Pass) {
+        let lost: Vec<TaskId> = self
+            .hosts
+            .values()
+            .filter(|h| !h.queue.is_empty() && !pass.room.contains_key(&h.id))
+            .flat_map(|h| h.queue.iter().map(|b| b.task.clone()))
+            .collect();
+        for task in lost {
+            self.unbook(&task.job, task.index);
+        }
+    }
+
+    fn zone_of(&self, host: &HostId) -> Option<Name> {
+        self.hosts.get(host).map(|h| h.zone.clone())
+    }
+
+    fn limit_allows(&self, pass: &Pass, request: &JobRequest, tasks: u64) -> bool {
+        let Some(team) = self.config.team(&request.team) else {
+            return false;
+        };
+        team.allows(&(self.team_use(&request.team, pass.ghosts) + request.each.times(tasks)))
+    }
+
+    /// Whether this task may go to this host at all.
+    fn allowed(&self, job: &Job, host: &Host, i: u32) -> bool {
+        let r = &job.request;
+        r.allows_host(&host.spec.kind, &host.zone, host.spot)
+            && (!job.failed_on.contains(&host.id) || job.failed_on.len() >= 3)
+            && !host.tasks.contains_key(&TaskId::new(&r.id, i))
+            && job.zone_room(&host.zone, |h| self.zone_of(h)) > 0
+    }
+
+    /// How well a host suits a task that starts now: quick to start, then tightly packed.
+    fn cost(host: &Host, room: &Resources, request: &JobRequest) -> (u64, u64, u64) {
+        let delay = start_delay(host, request).scale(host.slowness.clamp(1.0, 2.0));
+        let slow = if host.slowness > 1.5 { 1 } else { 0 };
+        // Work that may run on cheap machines leaves the ordinary ones to the rest.
+        let kind = u64::from(request.spot != host.spot);
+        let left = 1000.0 * request.each.share_of(&host.spec.capacity)
+            - 1000.0 * request.each.share_of(room);
+        let tight = (left + 10_000.0).max(0.0) as u64;
+        (delay.0 / 1_000_000 + slow * 30, kind, tight)
+    }
+
+    fn start(
+        &mut self,
+        pass: &mut Pass,
+        id: &JobId,
+        i: u32,
+        host: &HostId,
+        attempt: Option<jasperhill_wire::Attempt>,
+    ) {
+        let task = TaskId::new(id, i);
+        let Some(each) = self.jobs.get(id).map(|j| j.request.each) else {
+            return;
+        };
+        let attempt = attempt.unwrap_or_else(|| self.next_attempt());
+        self.unbook(id, i);
+        self.set_step(&task, TaskStep::Live(host.clone()));
+        self.apply(host, HostInput::Start(task, attempt, each), pass.now);
+        if let Some(room) = pass.room.get_mut(host) {
+            *room -= each;
+        }
+        self.dirty.insert(host.clone());
+    }
+
+    /// Deadline-free tasks that start alone: services and plain arrays.
+    fn start_loose(&mut self, pass: &mut Pass, id: &JobId) {
+        loop {
+            let Some(job) = self.jobs.get_mut(id) else {
+                return;
+            };
+            let Some(i) = job.next_pending() else { return };
+            let request = job.request.clone();
+            if !self.limit_allows(pass, &request, 1) {
+                return;
+            }
+            let Some(job) = self.jobs.get(id) else { return };
+            let urgent =
+                job.is_production() || request.priority == jasperhill_wire::user::Priority::High;
+            let best = pass
+                .room
+                .iter()
+                .filter(|(h, _)| pass.fits(h, id, &request.each))
+                .filter_map(|(h, room)| self.hosts.get(h).map(|host| (host, room)))
+                // The rest queues last: never ahead of admitted work that waits there.
+                .filter(|(host, _)| urgent || host.queue.is_empty())
+                .filter(|(host, _)| self.allowed(job, host, i))
+                .min_by_key(|(host, room)| (Self::cost(host, room, &request), host.id.clone()))
+                .map(|(host, _)| host.id.clone());
+            match best {
+                Some(host) => self.start(pass, id, i, &host, None),
+                None => {
+                    if job.is_production() {
+                        self.make_room(pass, id, i);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Stops work of lower priority for a production task that finds no room.
+    fn make_room(&mut self, pass: &mut Pass, id: &JobId, i: u32) {
+        let Some(job) = self.jobs.get(id) else { return };
+        if job.making_room.is_some() {
+            return;
+        }
+        let request = job.request.clone();
+        let mut best: Option<((u64, u64), HostId, Vec<TaskId>)> = None;
+        for (h, room) in &pass.room {
+            let Some(host) = self.hosts.get(h) else {
+                continue;
+            };
+            if pass.reserved.get(h).is_some_and(|j| j != id) || !self.allowed(job, host, i) {
+                continue;
+            }
+            let mut victims: Vec<_> = host
+                .tasks
+                .iter()
+                .filter(|(_, t)| t.is_on())
+                .filter_map(|(task, t)| {
+                    let other = self.jobs.get(&task.job)?;
+                    let lower = other.request.priority > request.priority && !other.is_service();
+                    // A gang of several would be stopped whole.
+                    (lower && (!other.is_gang() || other.request.tasks == 1)).then(|| {
+                        let lost = if other.checkpoints() {
+                            other.request.save
+                        } else {
+                            pass.now - t.running.unwrap_or(pass.now)
+                        };
+                        (lost, task.clone(), t.each, t.stopping.is_some())
+                    })
+                })
+                .collect();
+            victims.sort_by_key(|v| (!v.3, v.0));
+            let (mut free, mut chosen, mut loss) = (*room, Vec::new(), Micros::ZERO);
+            for (lost, task, each, _) in victims {
+                if request.each.fits(&free) {
+                    break;
+                }
+                free += each;
+                loss += lost;
+                chosen.push(task);
+            }
+            if request.each.fits(&free) && !chosen.is_empty() {
+                let key = (start_delay(host, &request).0 / 1_000_000, loss.0);
+                if best.as_ref().is_none_or(|(k, ..)| key < *k) {
+                    best = Some((key, h.clone(), chosen));
+                }
+            }
+        }
+        let Some((_, host, victims)) = best else {
+            return;
+        };
+        for task in victims {
+            let grace = match self.jobs.get_mut(&task.job) {
+                Some(other) => {
+                    other.preempted += 1;
+                    if other.checkpoints() {
+                        other.request.save + Micros::from_secs(1)
+                    } else {
+                        Micros::ZERO
+                    }
+                }
+                None => Micros::ZERO,
+            };
+            self.notes.push(Note::Stopped(
+                task.clone(),
+                host.clone(),
+                "room for production",
+            ));
+            self.stop(&host, &task, grace, pass.now);
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.making_room = Some((host.clone(), pass.now));
+        }
+        if let Some(room) = pass.room.get_mut(&host) {
+            *room -= request.each;
+        }
+    }
+
+    /// Room that is being made for production is not given to others.
+    fn keep_made_room(&mut self, pass: &mut Pass) {
+        for job in self.jobs.values_mut() {
+            let Some((_, since)) = &job.making_room else {
+                continue;
+            };
+            if pass.now - *since > Micros::from_secs(10)
+                || job.pending() == 0
+                || job.ending.is_some()
+            {
+                job.making_room = None;
+            }
+        }
+    }
+
+    /// Books pending tasks of an admitted job, as far as the team's limit goes.
+    fn book(&mut self, pass: &Pass, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let request = job.request.clone();
+        let Some(due) = job.due else { return };
+        let booked = job.booked.len() as u64;
+        let mut left = BOOK_MAX;
+        let mut taken = booked;
+        while left > 0 {
+            left -= 1;
+            if !self.limit_allows(pass, &request, taken + 1) {
+                return;
+            }
+            let Some(i) = self.jobs.get_mut(id).and_then(Job::next_pending) else {
+                return;
+            };
+            let task = TaskId::new(id, i);
+            let Some((host, booking)) = self.choose(pass, &task, &request, due, false) else {
+                return;
+            };
+            let Some(h) = self.hosts.get_mut(&host) else {
+                return;
+            };
+            insert(&mut h.queue, booking);
+            self.set_step(&task, TaskStep::Booked(host));
+            taken += 1;
+        }
+    }
+
+    fn booking(&self, host: &Host, task: &TaskId, request: &JobRequest, due: Micros) -> Booking {
+        let delay = start_delay(host, request).scale(self.config.tuning.uncertainty);
+        Booking {
+            task: task.clone(),
+            each: request.each,
+            adjusted: due - delay,
+            estimate: self.estimate(request).scale(host.slowness.max(1.0)),
+        }
+    }
+
+    pub(crate) fn occupied(&self, host: &Host, now: Micros) -> Vec<Occupied> {
+        host.tasks
+            .iter()
+            .filter(|(_, t)| t.is_on())
+            .map(|(task, t)| {
+                let until = match self.jobs.get(&task.job) {
+                    Some(j) if j.is_service() && t.stopping.is_none() => Micros::MAX,
+                    Some(j) => {
+                        let (began, wait) = match (t.running, t.state) {
+                            (Some(began), _) => (began, Micros::ZERO),
+                            (None, TaskState::Fetching | TaskState::Ordered) => {
+                                (now, start_delay(host, &j.request))
+                            }
+                            _ => (now, Micros::ZERO),
+                        };
+                        now + wait
+                            + remaining(
+                                self.estimate(&j.request).scale(host.slowness.max(1.0)),
+                                now - began,
+                            )
+                    }
+                    None => now + Micros::from_secs(2),
+                };
+                Occupied {
+                    until,
+                    each: t.each,
+                }
+            })
+            .collect()
+    }
+
+    /// The forward run over all hosts; among those without a new miss the lowest density.
+    /// Unless `strict`, an admitted task that would miss everywhere goes where the fewest do.
+    fn choose(
+        &self,
+        pass: &Pass,
+        task: &TaskId,
+        request: &JobRequest,
+        due: Micros,
+        strict: bool,
+    ) -> Option<(HostId, Booking)> {
+        let job = self.jobs.get(&task.job);
+        let mut best: Option<(usize, f64, HostId, Booking)> = None;
+        for id in pass.room.keys() {
+            let Some(host) = self.hosts.get(id) else {
+                continue;
+            };
+            let allowed = match job {
+                Some(job) => self.allowed(job, host, task.index),
+                None => request.allows_host(&host.spec.kind, &host.zone, host.spot),
+            };
+            if !allowed || !request.each.fits(&host.spec.capacity) {
+                continue;
+            }
+            let booking = self.booking(host, task, request, due);
+            let running = self.occupied(host, pass.now);
+            let room = host.room();
+            let mut queue = host.queue.clone();
+            let before = misses(pass.now, room, &running, &queue);
+            insert(&mut queue, booking.clone());
+            let missed = misses(pass.now, room, &running, &queue).saturating_sub(before);
+            if strict && missed > 0 {
+                continue;
+            }
+            let dense = density(pass.now, &queue);
+            if best
+                .as_ref()
+                .is_none_or(|(m, d, ..)| (missed, dense) < (*m, *d))
+            {
+                best = Some((missed, dense, id.clone(), booking));
+            }
+        }
+        best.map(|(_, _, host, booking)| (host, booking))
+    }
+
+    /// Starts booked tasks: from the head of their hosts' queues, and on any host that has
+    /// room and no queue of its own.
+    fn start_booked(&mut self, pass: &mut Pass, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let request = job.request.clone();
+        let booked: Vec<(u32, HostId)> = job.booked.iter().map(|(i, h)| (*i, h.clone())).collect();
+        for (i, home) in booked {
+            if !pass.room.keys().any(|h| pass.fits(h, id, &request.each)) {
+                return;
+            }
+            if !self.limit_allows(pass, &request, 1) {
+                return;
+            }
+            let Some(job) = self.jobs.get(id) else { return };
+            let target = if pass.fits(&home, id, &request.each)
+                && self
+                    .hosts
+                    .get(&home)
+                    .is_some_and(|h| self.allowed(job, h, i))
+            {
+                Some(home.clone())
+            } else {
+                pass.room
+                    .iter()
+                    .filter(|(h, _)| pass.fits(h, id, &request.each))
+                    .filter_map(|(h, room)| self.hosts.get(h).map(|host| (host, room)))
+                    .filter(|(host, _)| host.queue.is_empty() && self.allowed(job, host, i))
+                    .min_by_key(|(host, room)| (Self::cost(host, room, &request), host.id.clone()))
+                    .map(|(host, _)| host.id.clone())
+            };
+            if let Some(host) = target {
+                self.start(pass, id, i, &host, None);
+            }
+        }
+    }
+
+    /// Starts a gang whole or not at all.
+    fn start_gang(&mut self, pass: &mut Pass, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let request = job.request.clone();
+        if !job.live.is_empty() || !job.unsaved.is_empty() {
+            return;
+        }
+        if !self.limit_allows(pass, &request, u64::from(request.tasks)) {
+            return;
+        }
+        let zones: BTreeSet<Name> = pass
+            .room
+            .keys()
+            .filter_map(|h| self.zone_of(h))
+            .filter(|z| request.zone.as_ref().is_none_or(|want| want == z))
+            .collect();
+        let mut best: Option<(u64, Vec<HostId>)> = None;
+        let sets: Vec<BTreeSet<Name>> = if request.one_zone {
+            zones.into_iter().map(|z| BTreeSet::from([z])).collect()
+        } else {
+            vec![zones]
+        };
+        for zones in sets {
+            if let Some((cost, hosts)) = self.seats(pass, job, &request, &zones)
+                && best.as_ref().is_none_or(|(c, _)| cost < *c)
+            {
+                best = Some((cost, hosts));
+            }
+        }
+        match best {
+            Some((_, hosts)) => {
+                let attempt = self.next_attempt();
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.attempt = Some(attempt);
+                }
+                for (i, host) in hosts.into_iter().enumerate() {
+                    self.start(pass, id, i as u32, &host, Some(attempt));
+                }
+            }
+            None => self.reserve(pass, id, &request),
+        }
+    }
+
+    /// Hosts for every task of a gang within these zones, with room now.
+    fn seats(
+        &self,
+        pass: &Pass,
+        job: &Job,
+        request: &JobRequest,
+        zones: &BTreeSet<Name>,
+    ) -> Option<(u64, Vec<HostId>)> {
+        let mut candidates: Vec<_> = pass
+            .room
+            .iter()
+            .filter(|(h, _)| pass.fits(h, &request.id, &request.each))
+            .filter_map(|(h, room)| self.hosts.get(h).map(|host| (host, *room)))
+            .filter(|(host, _)| zones.contains(&host.zone))
+            .filter(|(host, _)| (0..request.tasks.min(1)).all(|i| self.allowed(job, host, i)))
+            .filter(|(host, _)| !host.tasks.keys().any(|t| t.job == request.id))
+            .map(|(host, room)| (Self::cost(host, &room, request), host, room))
+            .collect();
+        candidates.sort_by_key(|(cost, host, _)| (*cost, host.id.clone()));
+        let mut hosts = Vec::new();
+        let mut by_zone: BTreeMap<&Name, u32> = BTreeMap::new();
+        let mut worst = 0;
+        for (cost, host, mut room) in candidates {
+            while hosts.len() < request.tasks as usize && request.each.fits(&room) {
+                let used = by_zone.entry(&host.zone).or_default();
+                if *used >= request.zone_cap() {
+                    break;
+                }
+                *used += 1;
+                room -= request.each;
+                worst = worst.max(cost.0);
+                hosts.push(host.id.clone());
+            }
+        }
+        (hosts.len() == request.tasks as usize).then_some((worst, hosts))
+    }
+
+    /// Keeps the hosts that are free the soonest for a waiting gang, so that small work does
+    /// not hold it up for ever.
+    fn reserve(&mut self, pass: &mut Pass, id: &JobId, request: &JobRequest) {
+        if pass.reserved.values().collect::<BTreeSet<_>>().len() >= 2 {
+            return;
+        }
+        let Some(job) = self.jobs.get(id) else { return };
+        let mut ready: Vec<(Micros, &Host)> = pass
+            .room
+            .keys()
+            .filter(|h| !pass.reserved.contains_key(*h))
+            .filter_map(|h| self.hosts.get(h))
+            .filter(|h| self.allowed(job, h, 0))
+            .filter_map(|h| self.free_at(h, &request.each, pass.now).map(|t| (t, h)))
+            .collect();
+        ready.sort_by_key(|(t, h)| (*t, h.id.clone()));
+        let zone = request
+            .one_zone
+            .then(|| ready.first().map(|(_, h)| h.zone.clone()))
+            .flatten();
+        let chosen: Vec<HostId> = ready
+            .iter()
+            .filter(|(_, h)| zone.as_ref().is_none_or(|z| z == &h.zone))
+            .take(request.tasks as usize)
+            .map(|(_, h)| h.id.clone())
+            .collect();
+        if chosen.len() == request.tasks as usize {
+            for host in chosen {
+                pass.reserved.insert(host, id.clone());
+            }
+        }
+    }
+
+    /// When the host is expected to have room for this, if ever.
+    fn free_at(&self, host: &Host, each: &Resources, now: Micros) -> Option<Micros> {
+        let mut room = host.room();
+        let mut ends = self.occupied(host, now);
+        ends.sort_by_key(|o| o.until);
+        let mut at = now;
+        for o in ends {
+            if each.fits(&room) {
+                return Some(at);
+            }
+            if o.until == Micros::MAX {
+                return None;
+            }
+            at = o.until;
+            room += o.each;
+        }
+        each.fits(&room).then_some(at)
+    }
+
+    /// The admission test for a job with a deadline that nobody has accepted yet.
+    /// `elastic`: how many more machines can be had, after how long.
+    pub fn admit(
+        &self,
+        request: &JobRequest,
+        submitted: Micros,
+        now: Micros,
+        elastic: (u32, Micros),
+    ) -> Verdict {
+        let Some(deadline) = request.deadline else {
+            return Verdict::Admit;
+        };
+        let due = submitted + deadline;
+        let estimate = self.estimate(request);
+        if due - now <= estimate {
+            return Verdict::Refuse;
+        }
+        let ghosts = self.has_ghosts();
+        let pass = Pass {
+            now,
+            ghosts,
+            room: self
+                .hosts
+                .values()
+                .filter(|h| h.is_usable(now, &self.config))
+                .map(|h| (h.id.clone(), h.room()))
+                .collect(),
+            reserved: BTreeMap::new(),
+        };
+        // What lies beyond the team's limit waits unadmitted: only the part within it is tested.
+        let Some(team) = self.config.team(&request.team) else {
+            return Verdict::Refuse;
+        };
+        let used = self.team_use(&request.team, ghosts);
+        let mut tested = 0;
+        while tested < request.tasks.min(BOOK_MAX as u32)
+            && team.allows(&(used + request.each.times(u64::from(tested) + 1)))
+        {
+            tested += 1;
+        }
+        let mut copies: BTreeMap<HostId, (Resources, Vec<Occupied>, Vec<Booking>, usize)> = pass
+            .room
+            .keys()
+            .filter_map(|id| self.hosts.get(id))
+            .filter(|h| request.allows_host(&h.spec.kind, &h.zone, h.spot))
+            .filter(|h| request.each.fits(&h.spec.capacity))
+            .map(|h| {
+                let (room, running) = (h.room(), self.occupied(h, now));
+                let before = misses(now, room, &running, &h.queue);
+                (h.id.clone(), (room, running, h.queue.clone(), before))
+            })
+            .collect();
+        // Machines that could be rented now: they begin empty, and late.
+        let spec = self
+            .specs
+            .values()
+            .find(|s| request.allows_type(&s.kind) && request.each.fits(&s.capacity));
+        let mut rented = 0u64;
+        if let Some(spec) = spec {
+            let ready = now
+                + elastic.1
+                + fetch_time(request.image_gb, spec).scale(self.config.tuning.uncertainty);
+            if ready + estimate <= due {
+                let waves = ((due - ready).0 / estimate.0.max(1)).clamp(1, 8);
+                rented = u64::from(elastic.0)
+                    * request.each.count_in(&spec.capacity).min(1 << 20)
+                    * waves;
+            }
+        }
+        for i in 0..tested {
+            let task = TaskId::new(&request.id, i);
+            let mut best: Option<(f64, HostId, Vec<Booking>)> = None;
+            for (id, (room, running, queue, before)) in &copies {
+                let Some(host) = self.hosts.get(id) else {
+                    continue;
+                };
+                let booking = self.booking(host, &task, request, due);
+                let mut queue = queue.clone();
+                insert(&mut queue, booking);
+                if misses(now, *room, running, &queue) > *before {
+                    continue;
+                }
+                let dense = density(now, &queue);
+                if best.as_ref().is_none_or(|(d, ..)| dense < *d) {
+                    best = Some((dense, id.clone(), queue));
+                }
+            }
+            match best {
+                Some((_, id, queue)) => {
+                    if let Some(copy) = copies.get_mut(&id) {
+                        copy.2 = queue;
+                    }
+                }
+                None if rented > 0 => rented -= 1,
+                None => return Verdict::Refuse,
+            }
+        }
+        Verdict::Admit
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-wire/src/cloud.rs
@@ -0,0 +1,82 @@
+//! What the cloud is asked and answers.
+
+use crate::{HostId, Name};
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    pub name: Name,
+    #[serde(rename = "vcpus")]
+    pub cpus: f64,
+    #[serde(rename = "accelerators")]
+    pub gpus: f64,
+    pub memory_gb: f64,
+    #[serde(rename = "local_gb")]
+    pub cache_gb: f64,
+    #[serde(rename = "pull_gb_per_s")]
+    pub fetch_gb_per_s: f64,
+    #[serde(rename = "hourly")]
+    pub price: f64,
+    #[serde(default)]
+    pub spot_price: Option<f64>,
+    #[serde(rename = "ready_s")]
+    pub boot_s: f64,
+    #[serde(rename = "halls")]
+    pub zones: Vec<Name>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineTypes {
+    #[serde(rename = "hosttypes")]
+    pub types: Vec<MachineType>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct RentRequest {
+    #[serde(rename = "rental")]
+    pub request: String,
+    #[serde(rename = "hosttype")]
+    pub kind: Name,
+    #[serde(rename = "hall")]
+    pub zone: Name,
+    #[serde(rename = "reclaimable")]
+    pub spot: bool,
+    #[serde(rename = "how_many")]
+    pub count: u32,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HostNames {
+    pub hosts: Vec<HostId>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum MachinePhase {
+    Booting,
+    Running,
+    Failed,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Machine {
+    #[serde(rename = "uid")]
+    pub id: HostId,
+    #[serde(default)]
+    pub address: Option<String>,
+    #[serde(rename = "hosttype")]
+    pub kind: Name,
+    #[serde(rename = "hall")]
+    pub zone: Name,
+    #[serde(rename = "reclaimable")]
+    pub spot: bool,
+    pub phase: MachinePhase,
+    #[serde(rename = "held_s")]
+    pub age_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct MachineList {
+    pub hosts: Vec<Machine>,
+    pub more: bool,
+}
--- /dev/null
+++ b/crates/jasperhill-wire/src/record.rs
@@ -0,0 +1,144 @@
+//! The records that controllers keep in the state service, and their keys.
+
+use crate::{user::JobRequest, *};
+use serde::{Deserialize, Serialize};
+
+/// All keys begin with this, so that one watch sees every change.
+pub const ROOT: &str = "jh/";
+
+pub fn job_key(id: &JobId) -> String {
+    format!("jh/job/{id}")
+}
+pub fn host_key(id: &HostId) -> String {
+    format!("jh/host/{id}")
+}
+pub fn session_key(member: &Member) -> String {
+    format!("jh/session/{member}")
+}
+/// A role that one controller holds at a time: a partition, or the fleet.
+pub fn role_key(role: Role) -> String {
+    match role {
+        Role::Partition(n) => format!("jh/part/{n}"),
+        Role::Leader => "jh/leader".to_owned(),
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Role {
+    Partition(u32),
+    Leader,
+}
+
+/// What a key names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Key {
+    Job(JobId),
+    Host(HostId),
+    Session(Member),
+    Role(Role),
+    Types,
+}
+
+/// The machine types as the cloud last gave them, for controllers that start while the cloud
+/// is down.
+pub const TYPES_KEY: &str = "jh/types";
+
+impl Key {
+    pub fn parse(key: &str) -> Option<Self> {
+        let rest = key.strip_prefix(ROOT)?;
+        if rest == "leader" {
+            return Some(Self::Role(Role::Leader));
+        }
+        if rest == "types" {
+            return Some(Self::Types);
+        }
+        let (space, name) = rest.split_once('/')?;
+        Some(match space {
+            "job" => Self::Job(name.into()),
+            "host" => Self::Host(name.into()),
+            "session" => Self::Session(name.into()),
+            "part" => Self::Role(Role::Partition(name.parse().ok()?)),
+            _ => return None,
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RecordPhase {
+    #[serde(rename = "a")]
+    Active,
+    #[serde(rename = "d")]
+    Done,
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+/// One job. Final records shrink: `request` goes, the phase and counts stay for good.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    #[serde(rename = "p")]
+    pub phase: RecordPhase,
+    #[serde(rename = "n")]
+    pub done_count: u32,
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<JobRequest>,
+    /// Time of day of the first submission.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub submitted: Option<Micros>,
+    /// Finished tasks: alternating lengths of unfinished and finished runs.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub finished: Vec<u32>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SessionRecord {
+    #[serde(rename = "l")]
+    pub lease: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RoleRecord {
+    #[serde(rename = "o")]
+    pub owner: Member,
+    #[serde(rename = "l")]
+    pub lease: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HostUse {
+    /// In a partition, whose owner may start tasks.
+    #[serde(rename = "p")]
+    Partition(u32),
+    /// Empty and in no partition; the leader gives it to one or returns it.
+    #[serde(rename = "f")]
+    Free,
+    /// To be returned to the cloud; never used again. With a partition while tasks may run.
+    #[serde(rename = "x")]
+    Condemned(Option<u32>),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HostRecord {
+    #[serde(rename = "u")]
+    pub usage: HostUse,
+    #[serde(rename = "a")]
+    pub address: String,
+    #[serde(rename = "k")]
+    pub kind: Name,
+    #[serde(rename = "z")]
+    pub zone: Name,
+    #[serde(rename = "s")]
+    pub spot: bool,
+    /// Rewritten only to raise the token.
+    #[serde(rename = "g", default)]
+    pub bump: u64,
+}
+
+impl HostRecord {
+    pub fn partition(&self) -> Option<u32> {
+        match self.usage {
+            HostUse::Partition(p) | HostUse::Condemned(Some(p)) => Some(p),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-wire/src/worker.rs
@@ -0,0 +1,185 @@
+//! What workers report and are told.
+
+use crate::{
+    fields::{Fields, bad, object},
+    *,
+};
+use serde::Serialize;
+use serde_json::Value;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    Done,
+    Stopped { saved: bool },
+    Peers,
+    Incomplete,
+    Error,
+    NoRoom,
+    Busy,
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskPhase {
+    Fetching,
+    Waiting,
+    Running,
+    Saving,
+    Exited(Cause),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskReport {
+    pub task: TaskId,
+    pub attempt: Attempt,
+    pub phase: TaskPhase,
+}
+
+/// A worker's report, from `/hello`, `/do` or `/inspect`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    pub host: HostId,
+    pub address: String,
+    pub kind: Name,
+    pub zone: Name,
+    pub spot: bool,
+    pub tenure: u64,
+    pub counter: u64,
+    pub token: Token,
+    pub notice: Option<Micros>,
+    pub tasks: Vec<TaskReport>,
+}
+
+/// More tasks than any machine could hold.
+const REPORT_TASKS_MAX: usize = 2_000;
+
+impl Report {
+    pub fn parse(body: &[u8]) -> Result<Self, Malformed> {
+        let map = object(body)?;
+        let f = Fields(&map);
+        let list = f.list("shards")?;
+        if list.len() > REPORT_TASKS_MAX {
+            return bad("shards", "too many");
+        }
+        let mut tasks = Vec::with_capacity(list.len());
+        for item in list {
+            let Value::Object(item) = item else {
+                return bad("shards", "not objects");
+            };
+            tasks.push(Self::task(&Fields(item))?);
+        }
+        Ok(Self {
+            host: f.text("host")?.into(),
+            address: f.text("address")?.to_owned(),
+            kind: f.text("hosttype")?.into(),
+            zone: f.text("hall")?.into(),
+            spot: f.flag("reclaimable")?,
+            tenure: f.count("tenure")?,
+            counter: f.count("counter")?,
+            token: Token(f.count("epoch")?),
+            notice: f.opt_amount("warning_s")?.map(Micros::from_secs_f64),
+            tasks,
+        })
+    }
+
+    fn task(f: &Fields<'_>) -> Result<TaskReport, Malformed> {
+        let Some(task) = TaskId::parse(f.text("shard")?) else {
+            return bad("shard", "not of the form job-000412/3");
+        };
+        let phase = match f.text("phase")? {
+            "pulling" => TaskPhase::Fetching,
+            "waiting" => TaskPhase::Waiting,
+            "running" => TaskPhase::Running,
+            "flushing" => TaskPhase::Saving,
+            "exited" => TaskPhase::Exited(match f.text("cause")? {
+                "done" => Cause::Done,
+                "halted" => Cause::Stopped {
+                    saved: f.opt("kept").and_then(Value::as_bool).unwrap_or(false),
+                },
+                "peers" => Cause::Peers,
+                "incomplete" => Cause::Incomplete,
+                "error" => Cause::Error,
+                "no_room" => Cause::NoRoom,
+                "busy" => Cause::Busy,
+                "no_such" => Cause::Unknown,
+                _ => return bad("cause", "unknown"),
+            }),
+            _ => return bad("phase", "unknown"),
+        };
+        Ok(TaskReport {
+            task,
+            attempt: Attempt(f.count("try")?),
+            phase,
+        })
+    }
+}
+
+/// What a worker is told to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    Start(TaskId, Attempt),
+    Stop(TaskId, Attempt, Micros),
+    Forget(TaskId, Attempt),
+}
+
+impl Order {
+    pub fn key(&self) -> (&TaskId, Attempt) {
+        match self {
+            Self::Start(t, a) | Self::Stop(t, a, _) | Self::Forget(t, a) => (t, *a),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct OrderOut {
+    verb: &'static str,
+    shard: String,
+    #[serde(rename = "try")]
+    attempt: Attempt,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    wind_down_s: Option<f64>,
+}
+
+#[derive(Serialize)]
+struct OrdersOut {
+    epoch: Token,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    tenure: Option<u64>,
+    orders: Vec<OrderOut>,
+}
+
+/// The body of a 200 to a report (`tenure` absent) or of a `/do` (`tenure` given).
+pub fn orders_body(token: Token, tenure: Option<u64>, orders: &[Order]) -> Vec<u8> {
+    let orders = orders
+        .iter()
+        .map(|order| {
+            let (task, attempt) = order.key();
+            let (verb, wind_down_s) = match order {
+                Order::Start(..) => ("run", None),
+                Order::Stop(_, _, grace) => ("halt", Some(grace.as_secs_f64())),
+                Order::Forget(..) => ("clear", None),
+            };
+            OrderOut {
+                verb,
+                shard: task.to_string(),
+                attempt,
+                wind_down_s,
+            }
+        })
+        .collect();
+    serde_json::to_vec(&OrdersOut {
+        epoch: token,
+        tenure,
+        orders,
+    })
+    .unwrap_or_default()
+}
+
+/// The body of a 421.
+pub fn redirect_body(to: Option<&Member>) -> Vec<u8> {
+    match to {
+        Some(member) => serde_json::json!({ "reports_to": member.as_str() }).to_string(),
+        None => "{}".to_owned(),
+    }
+    .into_bytes()
+}
--- /dev/null
+++ b/crates/jasperhill/src/main.rs
@@ -0,0 +1,171 @@
+//! The command line: reads settings, sets up logging, runs one controller.
+
+mod own;
+
+use clap::{Args, Parser, Subcommand};
+use jasperhill_control::{Clock, Controller, HttpTransport, Settings, SettingsError};
+use jasperhill_http::{ServerLimits, serve};
+use std::{path::PathBuf, process::ExitCode, rc::Rc};
+use tokio::{net::TcpListener, task::LocalSet};
+use tracing::level_filters::LevelFilter;
+
+/// A cluster scheduler: takes jobs from users, rents machines, commands workers.
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run one controller until it is ended.
+    Serve(Files),
+    /// Check the settings and print what was understood.
+    Check(Files),
+}
+
+#[derive(Args)]
+struct Files {
+    /// The platform's settings (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' own settings (protobuf text format).
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
+
+/// Settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+/// The addresses can't be bound, or the runtime can't start.
+const EXIT_START: u8 = 1;
+
+impl Files {
+    fn read(&self) -> Result<Settings, SettingsError> {
+        let open = |path: &PathBuf| {
+            std::fs::read_to_string(path).map_err(|e| SettingsError {
+                field: path.display().to_string(),
+                reason: e.to_string(),
+            })
+        };
+        let mut settings = Settings::parse(&open(&self.config)?)?;
+        if let Some(path) = &self.operator {
+            settings.own = own::parse(&open(path)?)?;
+        }
+        Ok(settings)
+    }
+}
+
+fn log_level() -> Result<LevelFilter, SettingsError> {
+    match std::env::var("LOG_LEVEL").as_deref() {
+        Err(_) | Ok("") | Ok("info") => Ok(LevelFilter::INFO),
+        Ok("error") => Ok(LevelFilter::ERROR),
+        Ok("warn") => Ok(LevelFilter::WARN),
+        Ok("debug") => Ok(LevelFilter::DEBUG),
+        Ok(other) => Err(SettingsError {
+            field: "LOG_LEVEL".to_owned(),
+            reason: format!("none of error, warn, info, debug: {other}"),
+        }),
+    }
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let (Command::Serve(files) | Command::Check(files)) = &cli.command;
+    let (settings, level) = match files.read().and_then(|s| Ok((s, log_level()?))) {
+        Ok(found) => found,
+        Err(error) => {
+            eprintln!("jasperhill: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match cli.command {
+        Command::Check(_) => {
+            describe(&settings);
+            ExitCode::SUCCESS
+        }
+        Command::Serve(_) => {
+            tracing_subscriber::fmt()
+                .with_writer(std::io::stderr)
+                .with_max_level(level)
+                .with_ansi(false)
+                .without_time()
+                .init();
+            match run(settings) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => {
+                    eprintln!("jasperhill: {error}");
+                    ExitCode::from(EXIT_START)
+                }
+            }
+        }
+    }
+}
+
+fn describe(s: &Settings) {
+    let secs = |m: jasperhill_wire::Micros| m.as_secs_f64();
+    println!(
+        "member {} in {}, users and workers at {}, mesh at {}",
+        s.member, s.site, s.bind, s.mesh
+    );
+    for peer in &s.peers {
+        println!("peer {} at {}", peer.member, peer.address);
+    }
+    println!("state service {}, cloud {}", s.state, s.cloud);
+    println!(
+        "{} partitions, zones {:?}, {} teams",
+        s.size,
+        s.zones,
+        s.teams.len()
+    );
+    for (team, partition) in jasperhill_sched::split::split(&s.teams, s.size) {
+        println!("team {team} in partition {partition}");
+    }
+    println!(
+        "workers report every {} s, lease {} s, cancellations within {} s",
+        secs(s.report),
+        secs(s.lease),
+        secs(s.cancel)
+    );
+    println!(
+        "session {} s, mirror at most {} s old",
+        secs(s.session()),
+        secs(s.watch_age_max())
+    );
+    let t = &s.own.tuning;
+    println!(
+        "uncertainty factor {}, headroom {}, idle machines kept {} s",
+        t.uncertainty,
+        t.headroom,
+        secs(t.idle_keep)
+    );
+}
+
+fn run(settings: Settings) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(LocalSet::new().run_until(async move {
+        let users = TcpListener::bind(settings.bind).await?;
+        let peers = TcpListener::bind(settings.mesh).await?;
+        tracing::info!(member = %settings.member, bind = %settings.bind, "jasperhill serves");
+        // Some sockets stay free for the calls that go out.
+        let connections = (settings.max_connections * 3 / 4).max(16);
+        let limits = ServerLimits {
+            connections,
+            ..ServerLimits::default()
+        };
+        let mesh_limits = ServerLimits {
+            connections: 64,
+            ..ServerLimits::default()
+        };
+        let net = Rc::new(HttpTransport::new());
+        let controller = Rc::new(Controller::start(settings, Clock::system(), net));
+        let mesh = controller.clone();
+        tokio::join!(
+            serve(users, limits, move |request| controller.handle(request)),
+            serve(peers, mesh_limits, move |request| mesh.handle_mesh(request)),
+        );
+        Ok(())
+    }))
+}
