Count images under way in the start delay

Cause: hosts already fetching an image looked as slow to start as any other, so tasks with the same image were spread over many hosts that all fetched it, and several images on one host looked free. Ruled out: capacity (hosts were idle).

--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -52,6 +52,8 @@
     pub running: Option<Micros>,
     /// Told to stop: with which grace, since when.
     pub stopping: Option<(Micros, Micros)>,
+    /// The image it needs, with its size.
+    pub image: Option<(Name, f64)>,
     /// A `run` went out in the answer to a report that the worker has not followed up yet.
     answered: bool,
 }
@@ -88,8 +90,8 @@
     TokenRaised(Token),
     /// The lease has surely lapsed, or the machine is gone.
     Gone,
-    /// Start this task.
-    Start(TaskId, Attempt, Resources),
+    /// Start this task, which takes this much and needs this image.
+    Start(TaskId, Attempt, Resources, (Name, f64)),
     /// Stop this task.
     Stop(&'a TaskId, Micros),
 }
@@ -310,7 +312,7 @@
                 self.drop_all(&mut out);
                 self.reach = Reach::Lapsed;
             }
-            HostInput::Start(task, attempt, each) => {
+            HostInput::Start(task, attempt, each, image) => {
                 self.idle_since = None;
                 if let Some(old) = self.tasks.remove(&task) {
                     self.stale.insert((task.clone(), old.attempt));
@@ -322,6 +324,7 @@
                     ordered: now,
                     running: None,
                     stopping: None,
+                    image: Some(image),
                     answered: false,
                 };
                 self.tasks.insert(task, state);
@@ -507,10 +510,36 @@
             ordered: now,
             running: (state == TaskState::Running).then_some(now),
             stopping: None,
+            image: None,
             answered: false,
         }
     }
 
+    /// The expected wait for an image here: nothing when it is cached, the rest when it is
+    /// coming. Images fetched at the same time share the rate.
+    pub fn image_wait(&self, image: &Name, gb: f64, now: Micros) -> Micros {
+        if self.has_image(image) {
+            return Micros::ZERO;
+        }
+        let mut coming: BTreeMap<&Name, (f64, Micros)> = BTreeMap::new();
+        for t in self.tasks.values() {
+            if let (TaskState::Ordered | TaskState::Fetching, Some((name, gb))) =
+                (t.state, &t.image)
+                && !self.has_image(name)
+            {
+                let entry = coming.entry(name).or_insert((*gb, t.ordered));
+                entry.1 = entry.1.min(t.ordered);
+            }
+        }
+        coming.entry(image).or_insert((gb, now));
+        let rate = self.spec.fetch_gb_per_s.max(1e-6) / coming.len() as f64;
+        let rest = |(gb, since): (f64, Micros)| (gb - (now - since).as_secs_f64() * rate).max(0.0);
+        let mine = coming.get(image).map_or(gb, |e| rest(*e));
+        // The others slow it down as long as they last.
+        let shared: f64 = coming.values().map(|e| rest(*e).min(mine)).sum();
+        Micros::from_secs_f64(shared / self.spec.fetch_gb_per_s.max(1e-6))
+    }
+
     /// Tasks of a job that hold, or may hold, resources here.
     pub fn tasks_of<'a>(
         &'a self,
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -236,6 +236,7 @@
                     host.touch_image(&request.image, request.image_gb);
                     if let Some(t) = host.tasks.get_mut(task) {
                         t.each = request.each;
+                        t.image = Some((request.image.clone(), request.image_gb));
                         if t.state == TaskState::Running {
                             job.running.insert(task.index);
                         }
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -34,12 +34,9 @@
     }
 }
 
-/// The expected wait for the image: nothing when the host has it, less when it is coming.
-pub fn start_delay(host: &Host, request: &JobRequest) -> Micros {
-    if host.has_image(&request.image) {
-        return Micros::ZERO;
-    }
-    fetch_time(request.image_gb, &host.spec)
+/// The expected wait for the image.
+pub fn start_delay(host: &Host, request: &JobRequest, now: Micros) -> Micros {
+    host.image_wait(&request.image, request.image_gb, now)
 }
 
 impl Partition {
@@ -151,8 +148,8 @@
     }
 
     /// How well a host suits a task that starts now: quick to start, then tightly packed.
-    fn cost(host: &Host, room: &Resources, request: &JobRequest) -> (u64, u64, u64) {
-        let delay = start_delay(host, request).scale(host.slowness.clamp(1.0, 2.0));
+    fn cost(host: &Host, room: &Resources, request: &JobRequest, now: Micros) -> (u64, u64, u64) {
+        let delay = start_delay(host, request, now).scale(host.slowness.clamp(1.0, 2.0));
         let slow = if host.slowness > 1.5 { 1 } else { 0 };
         // Work that may run on cheap machines leaves the ordinary ones to the rest.
         let kind = u64::from(request.spot != host.spot);
@@ -171,13 +168,23 @@
         attempt: Option<jasperhill_wire::Attempt>,
     ) {
         let task = TaskId::new(id, i);
-        let Some(each) = self.jobs.get(id).map(|j| j.request.each) else {
+        let Some(request) = self.jobs.get(id).map(|j| j.request.clone()) else {
             return;
         };
+        let each = request.each;
         let attempt = attempt.unwrap_or_else(|| self.next_attempt());
         self.unbook(id, i);
         self.set_step(&task, TaskStep::Live(host.clone()));
-        self.apply(host, HostInput::Start(task, attempt, each), pass.now);
+        self.apply(
+            host,
+            HostInput::Start(
+                task,
+                attempt,
+                each,
+                (request.image.clone(), request.image_gb),
+            ),
+            pass.now,
+        );
         if let Some(room) = pass.room.get_mut(host) {
             *room -= each;
         }
@@ -206,7 +213,9 @@
                 // The rest queues last: never ahead of admitted work that waits there.
                 .filter(|(host, _)| urgent || host.queue.is_empty())
                 .filter(|(host, _)| self.allowed(job, host, i))
-                .min_by_key(|(host, room)| (Self::cost(host, room, &request), host.id.clone()))
+                .min_by_key(|(host, room)| {
+                    (Self::cost(host, room, &request, pass.now), host.id.clone())
+                })
                 .map(|(host, _)| host.id.clone());
             match best {
                 Some(host) => self.start(pass, id, i, &host, None),
@@ -264,7 +273,7 @@
                 chosen.push(task);
             }
             if request.each.fits(&free) && !chosen.is_empty() {
-                let key = (start_delay(host, &request).0 / 1_000_000, loss.0);
+                let key = (start_delay(host, &request, pass.now).0 / 1_000_000, loss.0);
                 if best.as_ref().is_none_or(|(k, ..)| key < *k) {
                     best = Some((key, h.clone(), chosen));
                 }
@@ -344,8 +353,15 @@
         }
     }
 
-    fn booking(&self, host: &Host, task: &TaskId, request: &JobRequest, due: Micros) -> Booking {
-        let delay = start_delay(host, request).scale(self.config.tuning.uncertainty);
+    fn booking(
+        &self,
+        host: &Host,
+        task: &TaskId,
+        request: &JobRequest,
+        due: Micros,
+        now: Micros,
+    ) -> Booking {
+        let delay = start_delay(host, request, now).scale(self.config.tuning.uncertainty);
         Booking {
             task: task.clone(),
             each: request.each,
@@ -365,7 +381,7 @@
                         let (began, wait) = match (t.running, t.state) {
                             (Some(began), _) => (began, Micros::ZERO),
                             (None, TaskState::Fetching | TaskState::Ordered) => {
-                                (now, start_delay(host, &j.request))
+                                (now, start_delay(host, &j.request, now))
                             }
                             _ => (now, Micros::ZERO),
                         };
@@ -408,7 +424,7 @@
             if !allowed || !request.each.fits(&host.spec.capacity) {
                 continue;
             }
-            let booking = self.booking(host, task, request, due);
+            let booking = self.booking(host, task, request, due, pass.now);
             let running = self.occupied(host, pass.now);
             let room = host.room();
             let mut queue = host.queue.clone();
@@ -456,7 +472,9 @@
                     .filter(|(h, _)| pass.fits(h, id, &request.each))
                     .filter_map(|(h, room)| self.hosts.get(h).map(|host| (host, room)))
                     .filter(|(host, _)| host.queue.is_empty() && self.allowed(job, host, i))
-                    .min_by_key(|(host, room)| (Self::cost(host, room, &request), host.id.clone()))
+                    .min_by_key(|(host, room)| {
+                        (Self::cost(host, room, &request, pass.now), host.id.clone())
+                    })
                     .map(|(host, _)| host.id.clone())
             };
             if let Some(host) = target {
@@ -524,7 +542,7 @@
             .filter(|(host, _)| zones.contains(&host.zone))
             .filter(|(host, _)| (0..request.tasks.min(1)).all(|i| self.allowed(job, host, i)))
             .filter(|(host, _)| !host.tasks.keys().any(|t| t.job == request.id))
-            .map(|(host, room)| (Self::cost(host, &room, request), host, room))
+            .map(|(host, room)| (Self::cost(host, &room, request, pass.now), host, room))
             .collect();
         candidates.sort_by_key(|(cost, host, _)| (*cost, host.id.clone()));
         let mut hosts = Vec::new();
@@ -673,7 +691,7 @@
                 let Some(host) = self.hosts.get(id) else {
                     continue;
                 };
-                let booking = self.booking(host, &task, request, due);
+                let booking = self.booking(host, &task, request, due, now);
                 let mut queue = queue.clone();
                 insert(&mut queue, booking);
                 if misses(now, *room, running, &queue) > *before {
