Keep room for arrivals of waited-for classes

Cause: gangs that need a whole machine waited for one to boot, since the fleet followed the work instead of expecting it. Ruled out: image fetches (the hosts were not there). The objectives name the classes that are waited for; their arrivals are learned, and the plan keeps what is expected in a boot time plus one deviation.

--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -164,12 +164,18 @@
             })
             .collect();
         let head = 1.0 + self.settings.own.tuning.headroom;
+        let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
+        let now = self.now();
         let mut stocks: Vec<Stock> = plan(&demands, &self.sched, specs)
             .iter()
-            .map(|need: &Need| Stock {
-                want: (need.total() * head + 0.5).ceil() as i64,
-                want_ordinary: (need.ordinary * head + 0.5).ceil() as i64,
-                ..Stock::default()
+            .enumerate()
+            .map(|(p, need): (usize, &Need)| {
+                let coming = state.arrivals.expected(p as u32, boot, now);
+                Stock {
+                    want: (need.total() * head + coming + 0.5).ceil() as i64,
+                    want_ordinary: (need.ordinary * head + coming + 0.5).ceil() as i64,
+                    ..Stock::default()
+                }
             })
             .collect();
         for kept in state.mirror.hosts.values() {
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -15,6 +15,7 @@
 use jasperhill_sched::{
     Partition, SchedConfig,
     config::{Specs, specs},
+    fleet::Arrivals,
     job::Ending,
     partition::Note,
 };
@@ -64,6 +65,7 @@
     pub releasing: BTreeSet<HostId>,
     /// When refused jobs were first asked for, so that a retry does not get more time.
     pub first_asked: BTreeMap<JobId, Micros>,
+    pub arrivals: Arrivals,
     tasks: JoinSet<()>,
 }
 
@@ -73,6 +75,7 @@
     pub split: BTreeMap<Name, u32>,
     pub members: Vec<Member>,
     pub clock: Clock,
+    pub started: Micros,
     net: Rc<dyn Transport>,
     pub state: RefCell<State>,
     pub wake_pass: Notify,
@@ -116,6 +119,7 @@
             bumping: BTreeSet::new(),
             releasing: BTreeSet::new(),
             first_asked: BTreeMap::new(),
+            arrivals: Arrivals::new(now),
             tasks: JoinSet::new(),
         };
         let inner = Rc::new(Inner {
@@ -124,6 +128,7 @@
             sched,
             settings,
             clock,
+            started: now,
             net,
             state: RefCell::new(state),
             wake_pass: Notify::new(),
@@ -192,6 +197,7 @@
     pub fn apply_mirror(&self, input: mirror::Input) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        let following = state.mirror.is_synced();
         let changes = state.mirror.apply(input);
         if changes.is_empty() {
             return;
@@ -199,7 +205,12 @@
         let (mut roles, mut pass) = (false, false);
         for change in changes {
             match change {
-                Change::Job(id) => pass |= self.job_changed(&mut state, &id, now),
+                Change::Job(id) => {
+                    if following {
+                        self.note_arrival(&mut state, &id, now);
+                    }
+                    pass |= self.job_changed(&mut state, &id, now);
+                }
                 Change::Host(id) => {
                     self.host_changed(&mut state, &id, now);
                     pass = true;
@@ -232,6 +243,27 @@
         }
     }
 
+    /// What had gathered before this controller came says nothing about what comes.
+    fn note_arrival(&self, state: &mut State, id: &JobId, now: Micros) {
+        let State {
+            mirror,
+            specs: Some(specs),
+            arrivals,
+            ..
+        } = state
+        else {
+            return;
+        };
+        if let Some(JobEntry::Active(job)) = mirror.job(id)
+            && self.settings.waited_for.contains(&job.request.class)
+            && job.finished.is_empty()
+            && now - self.started > Micros::from_secs(15)
+            && let Some(p) = self.partition_of(&job.request.team)
+        {
+            arrivals.note(p, &job.request, specs, now);
+        }
+    }
+
     fn job_changed(&self, state: &mut State, id: &JobId, now: Micros) -> bool {
         match state.mirror.job(id) {
             Some(JobEntry::Active(job)) => {
--- a/crates/jasperhill-control/src/settings.rs
+++ b/crates/jasperhill-control/src/settings.rs
@@ -58,6 +58,8 @@
     pub cloud_rps: f64,
     pub list_lag: Micros,
     pub max_connections: usize,
+    /// Classes whose starts are waited for, by the objectives.
+    pub waited_for: BTreeSet<Name>,
     pub own: OwnSettings,
 }
 
@@ -88,12 +90,20 @@
     zones: Vec<String>,
     time_bound_ms: f64,
     teams: Vec<RawTeam>,
+    #[serde(default)]
+    objectives: Vec<RawObjective>,
     workers: RawWorkers,
     state: RawState,
     cloud: RawCloud,
     quota: RawQuota,
 }
 #[derive(Deserialize)]
+struct RawObjective {
+    kind: String,
+    #[serde(default)]
+    class: Option<String>,
+}
+#[derive(Deserialize)]
 struct RawTeam {
     name: String,
     #[serde(default)]
@@ -263,6 +273,12 @@
             cloud_rps: positive("params.cloud.rps", p.cloud.rps)?,
             list_lag: Micros::from_secs_f64(p.cloud.list_lag_s.clamp(0.0, 3_600.0)),
             max_connections: p.quota.max_connections.unwrap_or(1_000) as usize,
+            waited_for: p
+                .objectives
+                .iter()
+                .filter(|o| o.kind == "wait")
+                .filter_map(|o| o.class.as_deref().map(Name::from))
+                .collect(),
             own: OwnSettings::default(),
         })
     }
--- a/crates/jasperhill-sched/src/fleet.rs
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -84,3 +84,73 @@
     }
     needs
 }
+
+/// How much work of a class comes, in hosts: learned from what has come, newer counting more.
+#[derive(Clone, Copy, Debug, Default)]
+struct Flow {
+    sum: f64,
+    squares: f64,
+    at: Micros,
+}
+
+/// The memory of the arrivals.
+const MEMORY: Micros = Micros::from_secs(240);
+
+impl Flow {
+    fn decay(&mut self, now: Micros) {
+        let factor = (-(now - self.at).as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        self.sum *= factor;
+        self.squares *= factor;
+        self.at = now;
+    }
+}
+
+/// Arrivals of the classes whose starts are waited for, by partition. Tells how much room to
+/// keep free: what is expected to come while a machine boots, and its usual deviation.
+#[derive(Clone, Debug)]
+pub struct Arrivals {
+    since: Micros,
+    flows: BTreeMap<(u32, Name), Flow>,
+}
+
+impl Arrivals {
+    pub fn new(since: Micros) -> Self {
+        Self {
+            since,
+            flows: BTreeMap::new(),
+        }
+    }
+
+    pub fn note(&mut self, partition: u32, request: &JobRequest, specs: &Specs, now: Micros) {
+        let spec = specs
+            .values()
+            .find(|s| request.allows_type(&s.kind) && request.each.fits(&s.capacity));
+        let Some(spec) = spec else { return };
+        let per_host = request.each.count_in(&spec.capacity).clamp(1, 1 << 20) as f64;
+        let share = f64::from(request.tasks) / per_host;
+        let flow = self
+            .flows
+            .entry((partition, request.class.clone()))
+            .or_default();
+        flow.decay(now);
+        flow.sum += share;
+        flow.squares += share * share;
+    }
+
+    /// Room to keep free in a partition, in hosts.
+    pub fn expected(&self, partition: u32, boot: Micros, now: Micros) -> f64 {
+        let seen = (now - self.since).as_secs_f64().max(30.0);
+        let memory = MEMORY.as_secs_f64();
+        let span = memory * (1.0 - (-seen / memory).exp());
+        let (mut mean, mut variance) = (0.0, 0.0);
+        for ((p, _), flow) in &self.flows {
+            if *p == partition {
+                let mut flow = *flow;
+                flow.decay(now);
+                mean += flow.sum / span * boot.as_secs_f64();
+                variance += flow.squares / span * boot.as_secs_f64();
+            }
+        }
+        mean + variance.sqrt()
+    }
+}
