--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -66,6 +66,13 @@
     /// When refused jobs were first asked for, so that a retry does not get more time.
     pub first_asked: BTreeMap<JobId, Micros>,
     pub arrivals: Arrivals,
+    /// The state service answers others, but not this controller.
+    pub alone: bool,
+    /// When workers were last sent to their owners.
+    pub redirected: BTreeMap<HostId, Micros>,
+    /// Workers whose reports come by way of another controller: when they were last tried
+    /// directly, and whether that worked.
+    pub probes: BTreeMap<HostId, (Micros, bool)>,
     tasks: JoinSet<()>,
 }
 
@@ -120,6 +127,9 @@
             releasing: BTreeSet::new(),
             first_asked: BTreeMap::new(),
             arrivals: Arrivals::new(now),
+            alone: false,
+            redirected: BTreeMap::new(),
+            probes: BTreeMap::new(),
             tasks: JoinSet::new(),
         };
         let inner = Rc::new(Inner {
@@ -143,6 +153,7 @@
         inner.clone().spawn(inner.clone().roles_loop());
         inner.clone().spawn(inner.clone().pass_loop());
         inner.clone().spawn(inner.clone().cloud_loop());
+        inner.clone().spawn(inner.clone().outage_loop());
         Self(inner)
     }
 
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -8,7 +8,36 @@
 };
 use std::{net::SocketAddr, rc::Rc};
 
+/// A mirror heard from within this time is as good as the state service gives.
+pub(crate) const FRESH: Micros = Micros::from_secs(6);
+
 impl Inner {
+    /// Looks around while the state service is silent: if it answers the others, users are
+    /// better served there; if nobody gets an answer, there is no better place to go.
+    pub async fn outage_loop(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+            let stale = self.now() - self.state.borrow().authority.fresh() >= FRESH;
+            let mut alone = stale && !self.settings.peers.is_empty();
+            if stale {
+                for peer in &self.settings.peers {
+                    match self
+                        .ask(peer.address, MeshRequest::IsFresh, Micros::from_secs(1))
+                        .await
+                    {
+                        Some(MeshAnswer::Fresh(true)) => {
+                            alone = true;
+                            break;
+                        }
+                        Some(MeshAnswer::Fresh(false)) => alone = false,
+                        _ => {}
+                    }
+                }
+            }
+            self.state.borrow_mut().alone = alone;
+        }
+    }
+
     pub async fn ask(&self, to: SocketAddr, ask: MeshRequest, limit: Micros) -> Option<MeshAnswer> {
         let body = encode(ask).ok()?;
         let request = Request::new(Method::Post, "/mesh", body);
@@ -28,6 +57,17 @@
         let answer = match decode::<MeshRequest>(&request.body) {
             Ok(MeshRequest::Admit(job)) => self.admit(*job).await,
             Ok(MeshRequest::Counts(id)) => self.counts(&id),
+            Ok(MeshRequest::Relay(report)) => {
+                let answer = self.relayed(report.as_bytes());
+                MeshAnswer::Relayed {
+                    status: answer.status,
+                    body: String::from_utf8(answer.body).unwrap_or_default(),
+                }
+            }
+            Ok(MeshRequest::IsFresh) => {
+                let now = self.now();
+                MeshAnswer::Fresh(now - self.state.borrow().authority.fresh() < FRESH)
+            }
             Err(error) => {
                 tracing::warn!(%error, "a mesh message that is not understood");
                 return Response::new(400, Vec::new());
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -56,7 +56,7 @@
     pub async fn serve(self: Rc<Self>, request: Request) -> Response {
         let path = request.path().to_owned();
         match (request.method, path.as_str()) {
-            (Method::Post, "/hello") => self.hello(&request.body),
+            (Method::Post, "/hello") => self.hello(&request.body).await,
             (_, "/hello") => error(405, "only POST").allow("POST"),
             (Method::Get, "/ready") => self.ready(),
             (_, "/ready") => error(405, "only GET").allow("GET"),
@@ -76,10 +76,9 @@
     }
 
     fn ready(&self) -> Response {
-        let now = self.now();
         let state = self.state.borrow();
-        let recent = now - state.authority.fresh() < Micros::from_secs(8);
-        if state.mirror.is_synced() && state.specs.is_some() && recent {
+        // In an outage that everybody sees, leaving the balancer would only delay the return.
+        if state.mirror.is_synced() && state.specs.is_some() && !state.alone {
             Response::new(200, b"{}".to_vec())
         } else {
             later("not ready")
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -10,6 +10,7 @@
 use jasperhill_sched::{HostInput, Partition, Reach, Source};
 use jasperhill_wire::{
     HostId, JobId, Member, Micros, Revision,
+    mesh::{MeshAnswer, MeshRequest},
     record::{HostRecord, HostUse, JobRecord, RecordPhase, Role, host_key, job_key, role_key},
     worker::{Order, Report, orders_body, redirect_body},
 };
@@ -23,63 +24,170 @@
     Response::new(421, redirect_body(to))
 }
 
+/// A worker that comes back within this time could not reach its owner.
+const RELAY_MEMORY: Micros = Micros::from_secs(12);
+
+/// What a worker is told, and whom it was sent to.
+struct Told {
+    response: Response,
+    owner: Option<Member>,
+}
+
 impl Inner {
-    /// A worker's report. Only the owner of its partition answers 200, and only with authority.
-    pub fn hello(self: &Rc<Self>, body: &[u8]) -> Response {
+    /// A worker's report. Only the owner of its partition answers 200, and only with
+    /// authority. A worker that was sent to its owner and comes back can't reach it: its
+    /// reports are then passed on, and the owner's answers back.
+    pub async fn hello(self: &Rc<Self>, body: &[u8]) -> Response {
+        let (mine, host) = match self.report(body) {
+            Ok(found) => found,
+            Err(refusal) => return refusal,
+        };
+        let Some(owner) = mine.owner else {
+            return mine.response;
+        };
+        let now = self.now();
+        let came_back = {
+            let mut state = self.state.borrow_mut();
+            if state.redirected.len() > 1_000 {
+                state.redirected.retain(|_, t| now - *t < RELAY_MEMORY);
+            }
+            let last = state.redirected.insert(host.clone(), now);
+            last.is_some_and(|t| now - t < RELAY_MEMORY)
+        };
+        if !came_back {
+            return mine.response;
+        }
+        let Some(address) = self.address_of(&owner) else {
+            return mine.response;
+        };
+        let ask = MeshRequest::Relay(String::from_utf8_lossy(body).into_owned());
+        match self.ask(address, ask, Micros::from_millis(2_500)).await {
+            Some(MeshAnswer::Relayed { status: 200, body }) => {
+                Response::new(200, body.into_bytes())
+            }
+            Some(MeshAnswer::Relayed { status: 421, .. }) => {
+                self.state.borrow_mut().redirected.remove(&host);
+                redirect(Some(&owner))
+            }
+            _ => unavailable(),
+        }
+    }
+
+    /// A report that another controller passed on. Once the worker can be reached from here
+    /// it is told to come itself.
+    pub fn relayed(self: &Rc<Self>, body: &[u8]) -> Response {
+        let (mine, host) = match self.report(body) {
+            Ok(found) => found,
+            Err(refusal) => return refusal,
+        };
+        if mine.owner.is_some() || mine.response.status != 200 {
+            return unavailable();
+        }
+        let now = self.now();
+        let probe = self.state.borrow().probes.get(&host).copied();
+        match probe {
+            Some((at, true)) if now - at < Micros::from_secs(5) => return redirect(None),
+            Some((at, _)) if now - at < Micros::from_secs(4) => {}
+            _ => self.clone().spawn(self.clone().probe(host)),
+        }
+        mine.response
+    }
+
+    async fn probe(self: Rc<Self>, host: HostId) {
+        let address = {
+            let mut state = self.state.borrow_mut();
+            let now = self.now();
+            state
+                .probes
+                .retain(|_, (at, _)| now - *at < Micros::from_secs(30));
+            state.probes.insert(host.clone(), (now, false));
+            state
+                .mirror
+                .hosts
+                .get(&host)
+                .and_then(|k| k.value.address.parse::<SocketAddr>().ok())
+        };
+        let Some(address) = address else { return };
+        let request = Request::new(Method::Get, "/inspect", Vec::new());
+        let answer = self.call(address, request, Micros::from_secs(1)).await;
+        if answer.is_ok_and(|a| a.status == 200) {
+            let now = self.now();
+            self.state.borrow_mut().probes.insert(host, (now, true));
+        }
+    }
+
+    fn report(self: &Rc<Self>, body: &[u8]) -> Result<(Told, HostId), Response> {
         let report = match Report::parse(body) {
             Ok(report) => report,
             Err(error) => {
                 tracing::warn!(%error, "a report that is not understood");
-                return Response::new(
+                return Err(Response::new(
                     400,
                     format!(
                         "{{\"error\":{}}}",
                         serde_json::Value::from(error.to_string())
                     )
                     .into_bytes(),
-                );
+                ));
             }
         };
-        if !self.has_authority() {
-            return unavailable();
-        }
         let now = self.now();
+        let host = report.host.clone();
         let mut guarded = self.state.borrow_mut();
         let state = &mut *guarded;
-        let Some(kept) = state.mirror.hosts.get(&report.host) else {
-            if state.leader.is_some() {
+        let Some(kept) = state.mirror.hosts.get(&host) else {
+            if state.leader.is_some() && state.authority.holds(now) {
                 drop(guarded);
                 self.clone().spawn(self.clone().adopt(report));
-                return unavailable();
+                return Err(unavailable());
             }
-            return self.redirect_to(state.mirror.owner(Role::Leader));
+            return Err(self.redirect_to(state.mirror.owner(Role::Leader)).response);
         };
         let Some(p) = kept.value.partition() else {
-            return redirect(None);
+            return Err(redirect(None));
         };
         let Some(partition) = state.partitions.get_mut(&p) else {
-            return self.redirect_to(state.mirror.owner(Role::Partition(p)));
+            return Ok((
+                self.redirect_to(state.mirror.owner(Role::Partition(p))),
+                host,
+            ));
         };
+        if !state.authority.holds(now) {
+            return Err(unavailable());
+        }
         partition.on_report(&report, Source::Hello, now);
-        let orders = partition.orders(&report.host);
-        let Some(token) = partition.hosts.get(&report.host).map(|h| h.token) else {
-            return unavailable();
+        let orders = partition.orders(&host);
+        let Some(token) = partition.hosts.get(&host).map(|h| h.token) else {
+            return Err(unavailable());
         };
         // Asked again: this answer renews a lease and carries orders.
         if !state.authority.holds(self.now()) {
-            return unavailable();
+            return Err(unavailable());
         }
-        partition.apply(&report.host, HostInput::Answered(&orders), now);
+        partition.apply(&host, HostInput::Answered(&orders), now);
         if partition.changed {
             self.wake_pass.notify_one();
         }
-        Response::new(200, orders_body(token, None, &orders))
+        let response = Response::new(200, orders_body(token, None, &orders));
+        Ok((
+            Told {
+                response,
+                owner: None,
+            },
+            host,
+        ))
     }
 
-    fn redirect_to(&self, owner: Option<&Member>) -> Response {
+    fn redirect_to(&self, owner: Option<&Member>) -> Told {
         match owner {
-            Some(owner) if owner != &self.settings.member => redirect(Some(owner)),
-            _ => unavailable(),
+            Some(owner) if owner != &self.settings.member => Told {
+                response: redirect(Some(owner)),
+                owner: Some(owner.clone()),
+            },
+            _ => Told {
+                response: unavailable(),
+                owner: None,
+            },
         }
     }
 
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -247,7 +247,8 @@
             let mut victims: Vec<_> = host
                 .tasks
                 .iter()
-                .filter(|(_, t)| t.is_on())
+                // What is stopping already makes room for somebody else.
+                .filter(|(_, t)| t.is_on() && t.stopping.is_none())
                 .filter_map(|(task, t)| {
                     let other = self.jobs.get(&task.job)?;
                     let lower = other.request.priority > request.priority && !other.is_service();
@@ -258,13 +259,13 @@
                         } else {
                             pass.now - t.running.unwrap_or(pass.now)
                         };
-                        (lost, task.clone(), t.each, t.stopping.is_some())
+                        (lost, task.clone(), t.each)
                     })
                 })
                 .collect();
-            victims.sort_by_key(|v| (!v.3, v.0));
+            victims.sort_by_key(|v| v.0);
             let (mut free, mut chosen, mut loss) = (*room, Vec::new(), Micros::ZERO);
-            for (lost, task, each, _) in victims {
+            for (lost, task, each) in victims {
                 if request.each.fits(&free) {
                     break;
                 }
--- a/crates/jasperhill-wire/src/mesh.rs
+++ b/crates/jasperhill-wire/src/mesh.rs
@@ -19,6 +19,10 @@
     Admit(Box<JobRequest>),
     /// Task counts for display.
     Counts(JobId),
+    /// The report of a worker that can't reach its owner, as it was sent.
+    Relay(String),
+    /// Whether the state service answers there.
+    IsFresh,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +39,12 @@
         running: u32,
         done: u32,
     },
+    /// The owner's answer to a relayed report.
+    Relayed {
+        status: u16,
+        body: String,
+    },
+    Fresh(bool),
 }
 
 #[derive(Debug, thiserror::Error)]
