Empty hosts with few replicas; production prefers cached hosts

When there are more hosts than planned, the one with the fewest replicas is emptied by moving them, one at a time, to hosts that have the image and room. Ruled out: the idle time (20 s) and the headroom, which matter less.

--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -625,6 +625,9 @@
                 } else {
                     self.settings.own.tuning.idle_keep
                 };
+                if stock.have > stock.want {
+                    partition.drain_one(now, stock.have_ordinary > stock.want_ordinary);
+                }
                 let ids: Vec<HostId> = partition.hosts.keys().cloned().collect();
                 for id in ids {
                     let Some(host) = partition.hosts.get(&id) else {
--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -135,6 +135,8 @@
     pub queue: Vec<crate::forward::Booking>,
     /// When it last became empty.
     pub idle_since: Option<Micros>,
+    /// Being emptied so that it can be given up, since when.
+    pub draining: Option<Micros>,
     /// Errors in a row, and set aside until.
     pub errors: u32,
     pub aside_until: Option<Micros>,
@@ -173,6 +175,7 @@
             images: Vec::new(),
             queue: Vec::new(),
             idle_since: Some(now),
+            draining: None,
             errors: 0,
             aside_until: None,
             slowness: 1.0,
@@ -205,6 +208,7 @@
             && matches!(self.usage, HostUse::Partition(_))
             && self.notice.is_none()
             && self.doubt == Doubt::None
+            && self.draining.is_none()
             && self.aside_until.is_none_or(|t| now >= t)
             && now - self.last_heard < config.report.scale(2.5) + Micros::from_secs(1)
     }
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -17,6 +17,12 @@
 /// Tasks of one job that are booked in one pass; the rest follows in later ones.
 const BOOK_MAX: usize = 256;
 
+/// A wait that is not worth stopping anything for.
+const PATIENCE: Micros = Micros::from_secs(10);
+
+/// A replica that has run for less is not moved.
+const SETTLED: Micros = Micros::from_secs(45);
+
 /// What a pass keeps track of.
 struct Pass {
     now: Micros,
@@ -46,6 +52,7 @@
         self.lapse(now);
         self.mend_gangs(now);
         self.drain_noticed(now);
+        self.move_replicas(now);
         let config = self.config.clone();
         let mut pass = Pass {
             now,
@@ -127,6 +134,101 @@
         }
     }
 
+    /// Chooses a host to be emptied, when there are more than are needed: the one with the
+    /// fewest replicas, if all of them can go on at once elsewhere.
+    pub fn drain_one(&mut self, now: Micros, ordinary: bool) {
+        let config = self.config.clone();
+        if self.has_ghosts() || self.hosts.values().any(|h| h.draining.is_some()) {
+            return;
+        }
+        let chosen = self
+            .hosts
+            .values()
+            .filter(|h| h.is_usable(now, &config) && h.queue.is_empty() && (ordinary || h.spot))
+            .filter(|h| {
+                h.tasks.iter().filter(|(_, t)| t.is_on()).all(|(task, t)| {
+                    self.jobs.get(&task.job).is_some_and(|j| {
+                        !j.is_service()
+                            || (t.running.is_some_and(|r| now - r > SETTLED)
+                                && self.refuge(j, task, &h.id, now).is_some())
+                    })
+                })
+            })
+            .map(|h| (h.tasks.values().filter(|t| t.is_on()).count(), h.id.clone()))
+            .filter(|(tasks, _)| *tasks > 0)
+            .min();
+        if let Some((tasks, id)) = chosen
+            && tasks <= 4
+            && let Some(host) = self.hosts.get_mut(&id)
+        {
+            host.draining = Some(now);
+        }
+    }
+
+    /// Another host where this replica would run at once.
+    fn refuge(&self, job: &Job, task: &TaskId, from: &HostId, now: Micros) -> Option<HostId> {
+        self.hosts
+            .values()
+            .filter(|h| &h.id != from && h.is_usable(now, &self.config))
+            .filter(|h| h.has_image(&job.request.image) && job.request.each.fits(&h.room()))
+            .filter(|h| h.tasks.values().any(|t| t.is_on()) && !h.tasks.contains_key(task))
+            .find(|h| {
+                let r = &job.request;
+                let others = job
+                    .live
+                    .iter()
+                    .filter(|(i, _)| **i != task.index)
+                    .filter(|(_, on)| self.zone_of(on).as_ref() == Some(&h.zone))
+                    .count() as u32;
+                r.allows_host(&h.spec.kind, &h.zone, h.spot)
+                    && others < r.zone_cap()
+                    && (!r.one_zone || others + 1 == job.live.len() as u32)
+            })
+            .map(|h| h.id.clone())
+    }
+
+    /// Moves replicas off a draining host, one at a time, so that each is away only for the
+    /// moment between its stop and its start where the image is.
+    fn move_replicas(&mut self, now: Micros) {
+        let mut stops = Vec::new();
+        for host in self.hosts.values_mut() {
+            if host
+                .draining
+                .is_some_and(|t| now - t > Micros::from_secs(90))
+            {
+                host.draining = None;
+            }
+        }
+        for host in self.hosts.values().filter(|h| h.draining.is_some()) {
+            if host
+                .tasks
+                .values()
+                .any(|t| t.is_on() && t.stopping.is_some())
+            {
+                continue;
+            }
+            let next = host.tasks.iter().find(|(task, t)| {
+                t.is_on()
+                    && self.jobs.get(&task.job).is_some_and(|j| {
+                        j.is_service()
+                            && j.pending() == 0
+                            && self.refuge(j, task, &host.id, now).is_some()
+                    })
+            });
+            if let Some((task, _)) = next {
+                stops.push((host.id.clone(), task.clone()));
+            }
+        }
+        for (host, task) in stops {
+            self.notes.push(Note::Stopped(
+                task.clone(),
+                host.clone(),
+                "moved to empty the host",
+            ));
+            self.stop(&host, &task, Micros::ZERO, now);
+        }
+    }
+
     fn zone_of(&self, host: &HostId) -> Option<Name> {
         self.hosts.get(host).map(|h| h.zone.clone())
     }
@@ -217,24 +319,30 @@
                     (Self::cost(host, room, &request, pass.now), host.id.clone())
                 })
                 .map(|(host, _)| host.id.clone());
-            match best {
-                Some(host) => self.start(pass, id, i, &host, None),
-                None => {
-                    if job.is_production() {
-                        self.make_room(pass, id, i);
-                    }
+            let wait = best
+                .as_ref()
+                .and_then(|h| self.hosts.get(h))
+                .map_or(Micros::MAX, |h| start_delay(h, &request, pass.now));
+            // Production does not wait for an image where stopping lesser work elsewhere lets
+            // it start at once.
+            if job.is_production() && wait > PATIENCE {
+                if job.making_room.is_some() || self.make_room(pass, id, i, wait) {
                     return;
                 }
             }
+            match best {
+                Some(host) => self.start(pass, id, i, &host, None),
+                None => return,
+            }
         }
     }
 
-    /// Stops work of lower priority for a production task that finds no room.
-    fn make_room(&mut self, pass: &mut Pass, id: &JobId, i: u32) {
-        let Some(job) = self.jobs.get(id) else { return };
-        if job.making_room.is_some() {
-            return;
-        }
+    /// Stops work of lower priority for a production task that finds no room. True if room is
+    /// now being made where the wait is shorter than `wait`.
+    fn make_room(&mut self, pass: &mut Pass, id: &JobId, i: u32, wait: Micros) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
         let request = job.request.clone();
         let mut best: Option<((u64, u64), HostId, Vec<TaskId>)> = None;
         for (h, room) in &pass.room {
@@ -273,15 +381,17 @@
                 loss += lost;
                 chosen.push(task);
             }
-            if request.each.fits(&free) && !chosen.is_empty() {
-                let key = (start_delay(host, &request, pass.now).0 / 1_000_000, loss.0);
+            let delay = start_delay(host, &request, pass.now);
+            let sooner = wait == Micros::MAX || delay + PATIENCE < wait;
+            if request.each.fits(&free) && !chosen.is_empty() && sooner {
+                let key = (delay.0 / 1_000_000, loss.0);
                 if best.as_ref().is_none_or(|(k, ..)| key < *k) {
                     best = Some((key, h.clone(), chosen));
                 }
             }
         }
         let Some((_, host, victims)) = best else {
-            return;
+            return false;
         };
         for task in victims {
             let grace = match self.jobs.get_mut(&task.job) {
@@ -308,6 +418,7 @@
         if let Some(room) = pass.room.get_mut(&host) {
             *room -= request.each;
         }
+        true
     }
 
     /// Room that is being made for production is not given to others.
@@ -316,7 +427,7 @@
             let Some((_, since)) = &job.making_room else {
                 continue;
             };
-            if pass.now - *since > Micros::from_secs(10)
+            if pass.now - *since > Micros::from_secs(4)
                 || job.pending() == 0
                 || job.ending.is_some()
             {
