New hosts go to pressing work first and balance zones within partitions

Ruled out: limits (they allowed the starts) and images. Also the patience of production now follows the objective's start time and counts its victims' saves.

--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -67,6 +67,8 @@
 struct Stock {
     want: i64,
     want_ordinary: i64,
+    /// For production and urgent work alone.
+    want_first: i64,
     have: i64,
     have_ordinary: i64,
 }
@@ -174,6 +176,7 @@
                 Stock {
                     want: (need.total() * head + coming + 0.5).ceil() as i64,
                     want_ordinary: (need.ordinary * head + coming + 0.5).ceil() as i64,
+                    want_first: (need.pressing * head + 0.5).ceil() as i64,
                     ..Stock::default()
                 }
             })
@@ -189,18 +192,36 @@
         stocks
     }
 
-    /// The partition that a new machine does the most good to.
-    pub fn neediest(&self, state: &State, spot: bool) -> u32 {
+    /// The partition that a machine does the most good to: production and urgent work
+    /// first, then the greatest lack, then the one with the fewest hosts in that zone, so
+    /// that replicas can be spread.
+    pub fn neediest(&self, state: &State, zone: &Name, spot: bool) -> u32 {
         let stocks = self.stocks(state);
+        let here = |p: usize| {
+            let p = p as u32;
+            let hosts = state.mirror.hosts.values();
+            hosts
+                .filter(|k| k.value.partition() == Some(p) && &k.value.zone == zone)
+                .count() as i64
+        };
         (0..stocks.len())
             .max_by_key(|i| {
                 let s = &stocks[*i];
+                let first = (s.want_first - s.have).max(0);
                 let ordinary = if spot {
                     0
                 } else {
                     (s.want_ordinary - s.have_ordinary).max(0)
                 };
-                (s.want - s.have, ordinary, -s.have, std::cmp::Reverse(*i))
+                let lack = (s.want - s.have).max(0);
+                (
+                    first,
+                    (lack > 0, -here(*i)),
+                    lack,
+                    ordinary,
+                    -s.have,
+                    std::cmp::Reverse(*i),
+                )
             })
             .unwrap_or(0) as u32
     }
@@ -437,7 +458,10 @@
                 .retain(|id, _| free.iter().any(|(f, _)| f == id));
             for (id, kept) in free {
                 let since = *leader.free_since.entry(id.clone()).or_insert(now);
-                let short = (0..stocks.len()).max_by_key(|i| stocks[*i].want - stocks[*i].have);
+                let short = (0..stocks.len()).max_by_key(|i| {
+                    let s = &stocks[*i];
+                    ((s.want_first - s.have).max(0), s.want - s.have)
+                });
                 let usage = match short {
                     Some(p) if stocks[p].want > stocks[p].have => {
                         stocks[p].have += 1;
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -266,7 +266,7 @@
             return;
         };
         if let Some(JobEntry::Active(job)) = mirror.job(id)
-            && self.settings.waited_for.contains(&job.request.class)
+            && self.settings.waited_for.contains_key(&job.request.class)
             && job.finished.is_empty()
             && now - self.started > Micros::from_secs(15)
             && let Some(p) = self.partition_of(&job.request.team)
--- a/crates/jasperhill-control/src/settings.rs
+++ b/crates/jasperhill-control/src/settings.rs
@@ -3,7 +3,10 @@
 use jasperhill_sched::{SchedConfig, TeamLimits, Tuning};
 use jasperhill_wire::{Member, Micros, Name, Resources};
 use serde::Deserialize;
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 #[derive(Debug, thiserror::Error)]
 #[error("{field}: {reason}")]
@@ -58,8 +61,8 @@
     pub cloud_rps: f64,
     pub list_lag: Micros,
     pub max_connections: usize,
-    /// Classes whose starts are waited for, by the objectives.
-    pub waited_for: BTreeSet<Name>,
+    /// Classes whose starts are waited for, and how long, by the objectives.
+    pub waited_for: BTreeMap<Name, Micros>,
     pub own: OwnSettings,
 }
 
@@ -102,6 +105,8 @@
     kind: String,
     #[serde(default)]
     class: Option<String>,
+    #[serde(default)]
+    within_s: f64,
 }
 #[derive(Deserialize)]
 struct RawTeam {
@@ -277,7 +282,13 @@
                 .objectives
                 .iter()
                 .filter(|o| o.kind == "wait")
-                .filter_map(|o| o.class.as_deref().map(Name::from))
+                .filter_map(|o| {
+                    let class = o.class.as_deref().map(Name::from)?;
+                    Some((
+                        class,
+                        Micros::from_secs_f64(o.within_s.clamp(0.0, 86_400.0)),
+                    ))
+                })
                 .collect(),
             own: OwnSettings::default(),
         })
@@ -291,6 +302,7 @@
             lease: self.lease,
             gang_wait: self.gang_wait,
             gang_peer: self.gang_peer,
+            start_within: self.waited_for.clone(),
             tuning: self.own.tuning.clone(),
         }
     }
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -205,7 +205,7 @@
             {
                 return;
             }
-            let partition = self.neediest(state, report.spot);
+            let partition = self.neediest(state, &report.zone, report.spot);
             state.leader.as_mut().map(|leader| {
                 leader.booting.remove(&report.host);
                 let record = HostRecord {
--- a/crates/jasperhill-sched/src/config.rs
+++ b/crates/jasperhill-sched/src/config.rs
@@ -53,6 +53,8 @@
     pub lease: Micros,
     pub gang_wait: Micros,
     pub gang_peer: Micros,
+    /// Within what time the objectives expect a class to start.
+    pub start_within: BTreeMap<Name, Micros>,
     pub tuning: Tuning,
 }
 
@@ -62,6 +64,13 @@
     pub fn lapse(&self) -> Micros {
         self.lease + self.lease.scale(0.002) + Micros::from_millis(400)
     }
+    /// A wait that is not worth stopping anything for.
+    pub fn patience(&self, class: &Name) -> Micros {
+        self.start_within
+            .get(class)
+            .copied()
+            .unwrap_or(Micros::from_secs(10))
+    }
     pub fn team(&self, name: &Name) -> Option<&TeamLimits> {
         self.teams.iter().find(|t| &t.name == name)
     }
--- a/crates/jasperhill-sched/src/fleet.rs
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -7,7 +7,7 @@
 };
 use jasperhill_wire::{
     Micros, Name,
-    user::{JobRequest, Shape},
+    user::{JobRequest, Priority, Shape},
 };
 use std::collections::BTreeMap;
 
@@ -32,6 +32,8 @@
     pub ordinary: f64,
     /// Work that may run on spot machines.
     pub flexible: f64,
+    /// The part of both that is production or urgent.
+    pub pressing: f64,
 }
 
 impl Need {
@@ -75,6 +77,9 @@
             share /= rounds.clamp(1.0, 2.0);
         }
         if let Some(need) = needs.get_mut(d.partition as usize) {
+            if r.priority <= Priority::High {
+                need.pressing += share;
+            }
             if r.spot {
                 need.flexible += share
             } else {
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -17,9 +17,6 @@
 /// Tasks of one job that are booked in one pass; the rest follows in later ones.
 const BOOK_MAX: usize = 256;
 
-/// A wait that is not worth stopping anything for.
-const PATIENCE: Micros = Micros::from_secs(10);
-
 /// A replica that has run for less is not moved.
 const SETTLED: Micros = Micros::from_secs(45);
 
@@ -325,7 +322,7 @@
                 .map_or(Micros::MAX, |h| start_delay(h, &request, pass.now));
             // Production does not wait for an image where stopping lesser work elsewhere lets
             // it start at once.
-            if job.is_production() && wait > PATIENCE {
+            if job.is_production() && wait > self.config.patience(&request.class) {
                 if job.making_room.is_some() || self.make_room(pass, id, i, wait) {
                     return;
                 }
@@ -367,22 +364,29 @@
                         } else {
                             pass.now - t.running.unwrap_or(pass.now)
                         };
-                        (lost, task.clone(), t.each)
+                        let grace = if other.checkpoints() {
+                            other.request.save
+                        } else {
+                            Micros::ZERO
+                        };
+                        (lost, task.clone(), t.each, grace)
                     })
                 })
                 .collect();
             victims.sort_by_key(|v| v.0);
             let (mut free, mut chosen, mut loss) = (*room, Vec::new(), Micros::ZERO);
-            for (lost, task, each) in victims {
+            let mut grace = Micros::ZERO;
+            for (lost, task, each, save) in victims {
                 if request.each.fits(&free) {
                     break;
                 }
                 free += each;
                 loss += lost;
+                grace = grace.max(save);
                 chosen.push(task);
             }
-            let delay = start_delay(host, &request, pass.now);
-            let sooner = wait == Micros::MAX || delay + PATIENCE < wait;
+            let delay = start_delay(host, &request, pass.now) + grace;
+            let sooner = wait == Micros::MAX || delay + self.config.patience(&request.class) < wait;
             if request.each.fits(&free) && !chosen.is_empty() && sooner {
                 let key = (delay.0 / 1_000_000, loss.0);
                 if best.as_ref().is_none_or(|(k, ..)| key < *k) {
