--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -322,10 +322,11 @@
                 .map_or(Micros::MAX, |h| start_delay(h, &request, pass.now));
             // Production does not wait for an image where stopping lesser work elsewhere lets
             // it start at once.
-            if job.is_production() && wait > self.config.patience(&request.class) {
-                if job.making_room.is_some() || self.make_room(pass, id, i, wait) {
-                    return;
-                }
+            if job.is_production()
+                && wait > self.config.patience(&request.class)
+                && (job.making_room.is_some() || self.make_room(pass, id, i, wait))
+            {
+                return;
             }
             match best {
                 Some(host) => self.start(pass, id, i, &host, None),
--- /dev/null
+++ b/crates/jasperhill-testkit/src/faults.rs
@@ -0,0 +1,57 @@
+//! Troubles: who can't reach whom, what is down, and what is delivered late.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Place {
+    Node(usize),
+    State,
+    Cloud,
+    /// The workers of a zone.
+    Zone(String),
+}
+
+#[derive(Clone, Debug)]
+pub enum Trouble {
+    /// The controller ends and is back after this long.
+    Crash(usize, Duration),
+    /// No packets between two places; some are held back and delivered afterwards.
+    Cut(Place, Place, Duration),
+    StateOutage(Duration),
+    /// One controller alone is answered 503.
+    Refused(usize, Duration),
+    CloudOutage(Duration),
+    /// A machine stops with all that is on it.
+    Die,
+}
+
+#[derive(Default)]
+pub struct Faults {
+    cuts: Vec<(Place, Place, Instant)>,
+    refused: Vec<(usize, Instant)>,
+    pub state_until: Option<Instant>,
+    pub cloud_until: Option<Instant>,
+}
+
+impl Faults {
+    pub fn cut(&mut self, a: Place, b: Place, until: Instant) {
+        self.cuts.push((a, b, until));
+    }
+    pub fn refuse(&mut self, node: usize, until: Instant) {
+        self.refused.push((node, until));
+    }
+    /// Until when these two can't reach each other.
+    pub fn cut_until(&self, a: &Place, b: &Place, now: Instant) -> Option<Instant> {
+        self.cuts
+            .iter()
+            .filter(|(x, y, until)| now < *until && ((x == a && y == b) || (x == b && y == a)))
+            .map(|(.., until)| *until)
+            .max()
+    }
+    pub fn is_refused(&self, node: usize, now: Instant) -> bool {
+        self.refused
+            .iter()
+            .any(|(n, until)| *n == node && now < *until)
+    }
+}
--- a/crates/jasperhill-testkit/src/lib.rs
+++ b/crates/jasperhill-testkit/src/lib.rs
@@ -1,1 +1,14 @@
-//! x
+//! Stand-ins for the state service, the cloud, workers and users, in one process, with
+//! several real controllers between them. Seeded and on tokio's paused time, so that a run
+//! repeats. The protocol's rules are asserted at every step; a broken one is recorded in
+//! [`World::broken`].
+
+pub mod cloud;
+pub mod faults;
+pub mod rules;
+pub mod state;
+pub mod users;
+pub mod workers;
+pub mod world;
+
+pub use world::{Plan, World, run};
--- /dev/null
+++ b/crates/jasperhill-testkit/src/rules.rs
@@ -0,0 +1,115 @@
+//! The protocol's rules, asserted at every step.
+
+use crate::workers::Worker;
+use jasperhill_wire::{TaskId, user::JobRequest};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+#[derive(Default)]
+pub struct Rules {
+    /// What broke, first to last.
+    pub broken: Vec<String>,
+    done: BTreeSet<TaskId>,
+    /// When a user was told that the job is cancelled.
+    pub cancelled: BTreeMap<String, Instant>,
+    /// Starts of this tick, to be judged against all machines.
+    starts: Vec<(String, TaskId, u64)>,
+    pub started: usize,
+    pub most_at_once: usize,
+}
+
+impl Rules {
+    pub fn has_result(&self, task: &TaskId) -> bool {
+        self.done.contains(task)
+    }
+    pub fn finished(&mut self, task: &TaskId) {
+        self.done.insert(task.clone());
+    }
+    pub fn all_done(&self, job: &JobRequest) -> bool {
+        (0..job.tasks).all(|i| self.done.contains(&TaskId::new(&job.id, i)))
+    }
+    pub fn breaks(&mut self, what: String) {
+        if self.broken.len() < 50 {
+            self.broken.push(what);
+        }
+    }
+    pub(crate) fn started(&mut self, worker: &Worker, task: &TaskId, attempt: u64) {
+        self.started += 1;
+        self.starts.push((worker.id.clone(), task.clone(), attempt));
+    }
+
+    /// Judges this tick's starts and what is on all machines.
+    pub fn judge(
+        &mut self,
+        workers: &BTreeMap<String, Worker>,
+        jobs: &BTreeMap<String, JobRequest>,
+        limits: &BTreeMap<String, u64>,
+        cancel: Duration,
+        now: Instant,
+    ) {
+        let mut on: Vec<(&Worker, &TaskId, &JobRequest)> = Vec::new();
+        for worker in workers.values() {
+            for ((task, _), t) in &worker.tasks {
+                if t.is_on()
+                    && let Some(job) = jobs.get(task.job.as_str())
+                {
+                    on.push((worker, task, job));
+                }
+            }
+        }
+        self.most_at_once = self.most_at_once.max(on.len());
+        for (host, task, attempt) in std::mem::take(&mut self.starts) {
+            let Some(here) = workers.get(&host) else {
+                continue;
+            };
+            let Some(job) = jobs.get(task.job.as_str()) else {
+                continue;
+            };
+            if on.iter().any(|(w, t, _)| *t == &task && w.id != host) {
+                self.breaks(format!("ran_twice: {task} try {attempt} starts on {host}"));
+            }
+            if self
+                .cancelled
+                .get(job.id.as_str())
+                .is_some_and(|t| now - *t > cancel)
+            {
+                self.breaks(format!("ran_cancelled: {task} starts on {host}"));
+            }
+            let siblings: Vec<&&Worker> = on
+                .iter()
+                .filter(|(_, t, _)| t.job == task.job)
+                .map(|(w, ..)| w)
+                .collect();
+            let same = siblings.iter().filter(|w| w.zone == here.zone).count();
+            let wrong = !job.allows_host(&"box".into(), &here.zone.as_str().into(), here.spot)
+                || (job.one_zone && same < siblings.len())
+                || (job.spread && same as u32 > job.zone_cap());
+            if wrong {
+                self.breaks(format!("wrong_place: {task} on {host} in {}", here.zone));
+            }
+        }
+        let mut used: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut late = Vec::new();
+        for (worker, task, job) in &on {
+            *used.entry(job.team.as_str()).or_default() += job.each.gpus;
+            if self
+                .cancelled
+                .get(job.id.as_str())
+                .is_some_and(|t| now - *t > cancel)
+            {
+                late.push(format!("ran_cancelled: {task} is on {}", worker.id));
+            }
+        }
+        for (team, gpus) in used {
+            if limits.get(team).is_some_and(|most| gpus > *most) {
+                late.push(format!("quota: {team} uses {gpus}"));
+            }
+        }
+        for what in late {
+            self.breaks(what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-testkit/src/state.rs
@@ -0,0 +1,301 @@
+//! A stand-in for the state service: keys, transactions, leases, watches.
+
+use jasperhill_http::{Method, Request, Response};
+use jasperhill_wire::{
+    Revision,
+    state::{Change, Event, Item, LeaseAnswer, Listing, Txn, TxnAnswer, WatchAnswer},
+};
+use serde_json::Value;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+struct Entry {
+    value: Value,
+    version: Revision,
+    lease: Option<u64>,
+}
+
+#[derive(Default)]
+pub struct StateService {
+    keys: BTreeMap<String, Entry>,
+    revision: u64,
+    history: VecDeque<(String, Event)>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    next_lease: u64,
+}
+
+/// Kept short, so that watches fall behind now and then and the listing is tried as well.
+const HISTORY: usize = 400;
+
+fn json(status: u16, body: &impl serde::Serialize) -> Response {
+    Response::new(status, serde_json::to_vec(body).unwrap())
+}
+
+fn query<'a>(target: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = target.split_once('?')?;
+    query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
+
+/// What a request leads to.
+pub enum Served {
+    Answer(Response),
+    /// A watch that blocks until a change or this moment.
+    Block {
+        prefix: String,
+        after: u64,
+        until: Instant,
+    },
+}
+
+impl StateService {
+    fn record(&mut self, event: Event, key: String) {
+        self.history.push_back((key, event));
+        if self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
+    }
+
+    /// Ends leases whose time is up.
+    pub fn expire(&mut self, now: Instant) {
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| now > *until)
+            .map(|(l, _)| *l)
+            .collect();
+        for lease in over {
+            self.end(lease);
+        }
+    }
+
+    /// After an outage all leases have their full time again.
+    pub fn refill(&mut self, now: Instant) {
+        for (until, ttl) in self.leases.values_mut() {
+            *until = now + *ttl;
+        }
+    }
+
+    fn end(&mut self, lease: u64) -> bool {
+        if self.leases.remove(&lease).is_none() {
+            return false;
+        }
+        let tied: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, e)| e.lease == Some(lease))
+            .map(|(k, _)| k.clone())
+            .collect();
+        if !tied.is_empty() {
+            self.revision += 1;
+        }
+        let version = Revision(self.revision);
+        for key in tied {
+            self.keys.remove(&key);
+            self.record(
+                Event::Delete {
+                    key: key.clone(),
+                    version,
+                },
+                key,
+            );
+        }
+        true
+    }
+
+    pub fn watch(&self, prefix: &str, after: u64) -> Option<Response> {
+        let events: Vec<Event> = self
+            .history
+            .iter()
+            .filter(|(key, e)| key.starts_with(prefix) && e.version().0 > after)
+            .map(|(_, e)| e.clone())
+            .collect();
+        (!events.is_empty()).then(|| {
+            json(
+                200,
+                &WatchAnswer {
+                    revision: Revision(self.revision),
+                    events,
+                },
+            )
+        })
+    }
+
+    pub fn nothing_new(&self) -> Response {
+        json(
+            200,
+            &WatchAnswer {
+                revision: Revision(self.revision),
+                events: Vec::new(),
+            },
+        )
+    }
+
+    pub fn serve(&mut self, request: &Request, now: Instant) -> Served {
+        self.expire(now);
+        let path = request.path();
+        Served::Answer(match (request.method, path) {
+            (Method::Post, "/txn") => self.txn(&request.body),
+            (Method::Get, "/watch") => {
+                let prefix = query(&request.target, "prefix").unwrap_or("").to_owned();
+                let after: u64 = query(&request.target, "after").unwrap().parse().unwrap();
+                let block: u64 =
+                    query(&request.target, "block_ms").map_or(0, |b| b.parse().unwrap());
+                let oldest = self.history.front().map_or(0, |(_, e)| e.version().0);
+                if self.history.len() >= HISTORY && after < oldest {
+                    Response::new(410, b"{}".to_vec())
+                } else if let Some(news) = self.watch(&prefix, after) {
+                    news
+                } else if block == 0 {
+                    self.nothing_new()
+                } else {
+                    let until = now + Duration::from_millis(block);
+                    return Served::Block {
+                        prefix,
+                        after,
+                        until,
+                    };
+                }
+            }
+            (Method::Get, "/store") => {
+                let prefix = query(&request.target, "prefix").unwrap_or("");
+                let after = query(&request.target, "after").unwrap_or("");
+                let page: usize = query(&request.target, "page").unwrap().parse().unwrap();
+                let mut items: Vec<Item> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > after)
+                    .take(page + 1)
+                    .map(|(k, e)| Item {
+                        key: k.clone(),
+                        value: e.value.clone(),
+                        version: e.version,
+                        lease: e.lease,
+                    })
+                    .collect();
+                let more = items.len() > page;
+                items.truncate(page);
+                json(
+                    200,
+                    &Listing {
+                        items,
+                        more,
+                        revision: Revision(self.revision),
+                    },
+                )
+            }
+            (Method::Post, "/leases") => {
+                let body: Value = serde_json::from_slice(&request.body).unwrap();
+                let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap());
+                self.next_lease += 1;
+                self.leases.insert(self.next_lease, (now + ttl, ttl));
+                json(
+                    200,
+                    &LeaseAnswer {
+                        lease: self.next_lease,
+                    },
+                )
+            }
+            (method, path) => self.lease(method, path, now),
+        })
+    }
+
+    fn lease(&mut self, method: Method, path: &str, now: Instant) -> Response {
+        let rest = path.strip_prefix("/leases/").expect("a known path");
+        let (id, renew) = match rest.strip_suffix("/renew") {
+            Some(id) => (id, true),
+            None => (rest, false),
+        };
+        let id: u64 = id.parse().unwrap();
+        let known = if renew {
+            self.leases
+                .get_mut(&id)
+                .map(|(until, ttl)| *until = now + *ttl)
+                .is_some()
+        } else {
+            assert_eq!(method, Method::Delete);
+            self.end(id)
+        };
+        Response::new(
+            if known { 200 } else { 404 },
+            format!("{{\"permit\":{id}}}").into_bytes(),
+        )
+    }
+
+    fn txn(&mut self, body: &[u8]) -> Response {
+        assert!(body.len() <= 64 * 1024, "a transaction over 64 KiB");
+        let txn: Txn = serde_json::from_slice(body).unwrap();
+        let failed: Vec<String> = txn
+            .guards
+            .iter()
+            .filter(|g| self.keys.get(&g.key).map_or(0, |e| e.version.0) != g.version.0)
+            .map(|g| g.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return json(
+                409,
+                &TxnAnswer {
+                    revision: Revision(self.revision),
+                    failed,
+                },
+            );
+        }
+        for change in &txn.changes {
+            if let Change::Put {
+                lease: Some(lease), ..
+            } = change
+                && !self.leases.contains_key(lease)
+            {
+                return Response::new(400, b"{\"error\":\"no such lease\"}".to_vec());
+            }
+        }
+        if !txn.changes.is_empty() {
+            self.revision += 1;
+        }
+        let version = Revision(self.revision);
+        for change in txn.changes {
+            match change {
+                Change::Put { key, value, lease } => {
+                    self.keys.insert(
+                        key.clone(),
+                        Entry {
+                            value: value.clone(),
+                            version,
+                            lease,
+                        },
+                    );
+                    self.record(
+                        Event::Put {
+                            key: key.clone(),
+                            value,
+                            version,
+                        },
+                        key,
+                    );
+                }
+                Change::Delete { key } => {
+                    if self.keys.remove(&key).is_some() {
+                        self.record(
+                            Event::Delete {
+                                key: key.clone(),
+                                version,
+                            },
+                            key,
+                        );
+                    }
+                }
+            }
+        }
+        json(
+            200,
+            &TxnAnswer {
+                revision: version,
+                failed: Vec::new(),
+            },
+        )
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-testkit/src/workers.rs
@@ -0,0 +1,254 @@
+//! Stand-ins for workers: leases, tokens, orders, tasks that fetch, wait, run and end.
+
+use crate::rules::Rules;
+use jasperhill_wire::{Attempt, TaskId, user::JobRequest, user::Shape};
+use serde_json::{Value, json};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Phase {
+    Fetching(Instant),
+    Waiting(Instant),
+    Running { until: Option<Instant> },
+    Exited(&'static str),
+}
+
+#[derive(Clone, Debug)]
+pub struct Task {
+    pub attempt: Attempt,
+    pub phase: Phase,
+}
+
+impl Task {
+    /// On its machine in the sense of the rules.
+    pub fn is_on(&self) -> bool {
+        matches!(self.phase, Phase::Waiting(_) | Phase::Running { .. })
+    }
+}
+
+#[derive(Debug)]
+pub struct Worker {
+    pub id: String,
+    pub zone: String,
+    pub spot: bool,
+    pub tenure: u64,
+    pub counter: u64,
+    pub token: u64,
+    pub tasks: BTreeMap<(TaskId, u64), Task>,
+    pub images: BTreeSet<String>,
+    pub lease_from: Instant,
+    pub node: usize,
+    pub changed: bool,
+}
+
+pub struct Times {
+    pub lease: Duration,
+    pub gang_wait: Duration,
+}
+
+impl Worker {
+    pub fn new(id: &str, zone: &str, spot: bool, node: usize, now: Instant) -> Self {
+        Self {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            tenure: 1,
+            counter: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            images: BTreeSet::new(),
+            lease_from: now,
+            node,
+            changed: false,
+        }
+    }
+
+    pub fn report(&mut self) -> Value {
+        self.counter += 1;
+        let shards: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|((task, attempt), t)| {
+                let mut item = json!({"shard":task.to_string(),"try":attempt});
+                item["phase"] = match t.phase {
+                    Phase::Fetching(_) => "pulling",
+                    Phase::Waiting(_) => "waiting",
+                    Phase::Running { .. } => "running",
+                    Phase::Exited(cause) => {
+                        item["cause"] = cause.into();
+                        "exited"
+                    }
+                }
+                .into();
+                item
+            })
+            .collect();
+        json!({"host":self.id,"address":crate::cloud::address(&self.id),"hosttype":"box",
+            "hall":self.zone,"reclaimable":self.spot,"tenure":self.tenure,"counter":self.counter,
+            "epoch":self.token,"warning_s":null,"shards":shards})
+    }
+
+    /// Orders from a `/do`: refused with a lower token or another session.
+    pub fn direct(
+        &mut self,
+        body: &Value,
+        jobs: &BTreeMap<String, JobRequest>,
+        now: Instant,
+    ) -> (u16, Value) {
+        let (token, tenure) = (
+            body["epoch"].as_u64().unwrap(),
+            body["tenure"].as_u64().unwrap(),
+        );
+        if token < self.token || tenure != self.tenure {
+            return (409, self.report());
+        }
+        self.raise(token);
+        self.execute(body["orders"].as_array().unwrap(), jobs, now);
+        (200, self.report())
+    }
+
+    fn raise(&mut self, token: u64) {
+        if token > self.token {
+            self.token = token;
+            self.changed = true;
+        }
+    }
+
+    /// The answer to a report: dropped with a lower token or after the session has ended.
+    pub fn answered(
+        &mut self,
+        body: &Value,
+        sent: Instant,
+        tenure: u64,
+        jobs: &BTreeMap<String, JobRequest>,
+        now: Instant,
+    ) {
+        let token = body["epoch"].as_u64().unwrap();
+        if token < self.token || tenure != self.tenure {
+            return;
+        }
+        self.raise(token);
+        self.lease_from = sent;
+        self.execute(body["orders"].as_array().unwrap(), jobs, now);
+    }
+
+    fn execute(&mut self, orders: &[Value], jobs: &BTreeMap<String, JobRequest>, now: Instant) {
+        for order in orders {
+            let task = TaskId::parse(order["shard"].as_str().unwrap()).unwrap();
+            let attempt = order["try"].as_u64().unwrap();
+            let key = (task.clone(), attempt);
+            match order["verb"].as_str().unwrap() {
+                "run" => {
+                    if self.tasks.contains_key(&key) {
+                        continue;
+                    }
+                    let Some(job) = jobs.get(task.job.as_str()) else {
+                        self.put(key, Phase::Exited("no_such"));
+                        continue;
+                    };
+                    let busy = self
+                        .tasks
+                        .iter()
+                        .any(|((t, _), x)| t == &task && !matches!(x.phase, Phase::Exited(_)));
+                    let gpus: u64 = self
+                        .tasks
+                        .iter()
+                        .filter(|(_, x)| !matches!(x.phase, Phase::Exited(_)))
+                        .filter_map(|((t, _), _)| jobs.get(t.job.as_str()))
+                        .map(|j| j.each.gpus)
+                        .sum();
+                    let phase = if busy {
+                        Phase::Exited("busy")
+                    } else if gpus + job.each.gpus > (crate::cloud::GPUS * 1e6) as u64 {
+                        Phase::Exited("no_room")
+                    } else if self.images.contains(job.image.as_str()) {
+                        Phase::Fetching(now)
+                    } else {
+                        Phase::Fetching(now + Duration::from_secs_f64(job.image_gb))
+                    };
+                    self.put(key, phase);
+                }
+                "halt" => {
+                    if let Some(t) = self.tasks.get_mut(&key)
+                        && !matches!(t.phase, Phase::Exited(_))
+                    {
+                        t.phase = Phase::Exited("halted");
+                        self.changed = true;
+                    }
+                }
+                "clear" => {
+                    if self
+                        .tasks
+                        .get(&key)
+                        .is_some_and(|t| matches!(t.phase, Phase::Exited(_)))
+                    {
+                        self.tasks.remove(&key);
+                    }
+                }
+                other => panic!("an unknown order {other}"),
+            }
+        }
+    }
+
+    fn put(&mut self, key: (TaskId, u64), phase: Phase) {
+        let attempt = Attempt(key.1);
+        self.tasks.insert(key, Task { attempt, phase });
+        self.changed = true;
+    }
+
+    /// Lets time pass: leases, fetches, waits, ends.
+    pub fn tick(
+        &mut self,
+        now: Instant,
+        times: &Times,
+        jobs: &BTreeMap<String, JobRequest>,
+        rules: &mut Rules,
+    ) {
+        if now - self.lease_from > times.lease {
+            self.tasks.clear();
+            self.tenure += 1;
+            self.lease_from = now;
+            self.changed = true;
+        }
+        let mut started = Vec::new();
+        for ((task, attempt), t) in &mut self.tasks {
+            let Some(job) = jobs.get(task.job.as_str()) else {
+                continue;
+            };
+            let before = t.phase.clone();
+            match before {
+                Phase::Fetching(until) if now >= until => {
+                    self.images.insert(job.image.as_str().to_owned());
+                    started.push((task.clone(), *attempt));
+                    t.phase = if rules.has_result(task) {
+                        // The result is kept.
+                        Phase::Exited("done")
+                    } else if job.shape == Shape::Gang {
+                        Phase::Waiting(now)
+                    } else {
+                        let run = Duration::from_micros(job.estimate.0 * 9 / 10);
+                        Phase::Running {
+                            until: (job.shape != Shape::Service).then_some(now + run),
+                        }
+                    };
+                }
+                Phase::Waiting(since) if now - since > times.gang_wait => {
+                    t.phase = Phase::Exited("incomplete");
+                }
+                Phase::Running { until: Some(until) } if now >= until => {
+                    t.phase = Phase::Exited("done");
+                    rules.finished(task);
+                }
+                _ => {}
+            }
+            self.changed |= t.phase != before;
+        }
+        for (task, attempt) in started {
+            rules.started(self, &task, attempt);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-testkit/src/world.rs
@@ -0,0 +1,656 @@
+//! The world: several controllers and the stand-ins between them, and how they reach one
+//! another.
+
+use crate::{
+    cloud::{Cloud, address},
+    faults::{Faults, Place, Trouble},
+    rules::Rules,
+    state::{Served, StateService},
+    users,
+    workers::{Times, Worker},
+};
+use jasperhill_control::{Clock, Controller, Settings, Transport, net::Call};
+use jasperhill_http::{ClientError, Method, Request, Response};
+use jasperhill_wire::{Micros, user::JobRequest};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::Value;
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    task::{LocalSet, spawn_local},
+    time::{Instant, sleep, sleep_until, timeout},
+};
+
+/// What a run is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub seconds: u64,
+    pub jobs: usize,
+    /// Troubles at set times.
+    pub troubles: Vec<(u64, Trouble)>,
+}
+
+/// What came of it.
+#[derive(Debug)]
+pub struct Outcome {
+    pub broken: Vec<String>,
+    pub accepted: usize,
+    pub finished: usize,
+    pub started: usize,
+    pub most_at_once: usize,
+}
+
+pub struct Inside {
+    rng: StdRng,
+    state: StateService,
+    cloud: Cloud,
+    pub workers: BTreeMap<String, Worker>,
+    pub jobs: BTreeMap<String, JobRequest>,
+    pub rules: Rules,
+    pub accepted: usize,
+    pub finished: usize,
+    nodes: Vec<Option<Rc<Controller>>>,
+    lives: Vec<u64>,
+    faults: Faults,
+}
+
+pub struct World {
+    pub inner: RefCell<Inside>,
+    settings: Vec<Settings>,
+    origin: Instant,
+}
+
+const NODES: usize = 3;
+const LEASE: Duration = Duration::from_secs(16);
+const CANCEL: Duration = Duration::from_secs(46);
+const GPU_LIMIT: f64 = 5.0;
+
+fn settings(node: usize) -> Settings {
+    let mut text = format!(
+        "member='worker-{node}'\nsite='{}'\nbind='10.0.0.{n}:8080'\nmesh_addr='10.0.0.{n}:8081'\n",
+        if node == 1 { "b" } else { "a" },
+        n = node + 1
+    );
+    for other in (0..NODES).filter(|o| *o != node) {
+        text += &format!(
+            "[[others]]\nmember='worker-{other}'\nendpoint='10.0.0.{}:8081'\n",
+            other + 1
+        );
+    }
+    text += "[services]\ncloud='10.2.0.2:8443'\nstate='10.2.0.1:2379'\n\
+        [params]\nsize=3\nzones=['a','b']\ntime_bound_ms=100.0\n\
+        [params.workers]\nreport_s=2.5\nlease_s=16.0\ngang_wait_s=30.0\ngang_peer_s=4.0\ncancel_s=46.0\n\
+        [params.state]\nrps=250.0\nwrite_rps=100.0\nvalue_kb=16.0\ntxn_ops=48\n\
+        [params.cloud]\nrps=4.0\nlist_lag_s=3.0\n[params.quota]\nmax_connections=1000\n";
+    for team in 0..4 {
+        text +=
+            &format!("[[params.teams]]\nname='team-{team}'\ngpus=2.0\ngpus_max={GPU_LIMIT:?}\n");
+    }
+    Settings::parse(&text).unwrap()
+}
+
+struct SimTransport {
+    world: Rc<World>,
+    node: usize,
+}
+
+impl Transport for SimTransport {
+    fn call(&self, to: SocketAddr, request: Request, limit: Duration) -> Call<'_> {
+        let (world, node) = (self.world.clone(), self.node);
+        Box::pin(async move {
+            match timeout(limit, world.clone().carry(node, to, request, limit)).await {
+                Ok(result) => result,
+                Err(_) => Err(ClientError::NoAnswer),
+            }
+        })
+    }
+}
+
+impl World {
+    pub fn pick(&self, n: u64) -> u64 {
+        self.inner.borrow_mut().rng.random_range(0..n)
+    }
+    pub fn breaks(&self, what: String) {
+        self.inner.borrow_mut().rules.breaks(what);
+    }
+
+    async fn latency(&self) {
+        let ms = if self.pick(50) == 0 {
+            300
+        } else {
+            1 + self.pick(6)
+        };
+        sleep(Duration::from_millis(ms)).await;
+    }
+
+    fn place(&self, to: SocketAddr) -> Place {
+        let SocketAddr::V4(v4) = to else {
+            panic!("not IPv4")
+        };
+        let o = v4.ip().octets();
+        match o[1] {
+            0 => Place::Node(o[3] as usize - 1),
+            2 if o[3] == 1 => Place::State,
+            2 => Place::Cloud,
+            _ => {
+                let inner = self.inner.borrow();
+                let id = worker_id(to);
+                let zone = inner.workers.get(&id).map_or("", |w| w.zone.as_str());
+                Place::Zone(zone.to_owned())
+            }
+        }
+    }
+
+    /// One request of a controller, with all that can happen to it on the way.
+    async fn carry(
+        self: Rc<Self>,
+        node: usize,
+        to: SocketAddr,
+        request: Request,
+        limit: Duration,
+    ) -> Result<Response, ClientError> {
+        self.latency().await;
+        let place = self.place(to);
+        let now = Instant::now();
+        let cut = self
+            .inner
+            .borrow()
+            .faults
+            .cut_until(&Place::Node(node), &place, now);
+        if let Some(until) = cut {
+            if self.pick(2) == 0 {
+                // A connection that does not come about: given up for good.
+                sleep(limit.min(Duration::from_millis(1_500))).await;
+                return Err(ClientError::NotSent);
+            }
+            // Held back, and delivered after the cut although nobody waits any more.
+            let world = self.clone();
+            let late = until + Duration::from_millis(self.pick(2_000));
+            spawn_local(async move {
+                sleep_until(late).await;
+                let _ = world.execute(node, to, request).await;
+            });
+            sleep(limit * 2).await;
+            return Err(ClientError::NoAnswer);
+        }
+        let answer = self.execute(node, to, request).await;
+        if self.pick(300) == 0 {
+            // The answer is lost.
+            sleep(limit * 2).await;
+        }
+        self.latency().await;
+        answer
+    }
+
+    async fn execute(
+        &self,
+        node: usize,
+        to: SocketAddr,
+        request: Request,
+    ) -> Result<Response, ClientError> {
+        let now = Instant::now();
+        match self.place(to) {
+            Place::Node(i) => {
+                let found = {
+                    let inner = self.inner.borrow();
+                    inner.nodes[i].clone().map(|c| (c, inner.lives[i]))
+                };
+                let Some((controller, life)) = found else {
+                    return Err(ClientError::NotSent);
+                };
+                let future = controller.handle_mesh(request);
+                drop(controller);
+                let answer = future.await;
+                if self.inner.borrow().lives[i] != life {
+                    return Err(ClientError::NoAnswer);
+                }
+                Ok(answer)
+            }
+            Place::State => self.state(node, request).await,
+            Place::Cloud => {
+                let mut inner = self.inner.borrow_mut();
+                if inner.faults.cloud_until.is_some_and(|t| now < t) {
+                    return Ok(Response::new(503, b"{\"error\":\"trouble\"}".to_vec()));
+                }
+                let Inside {
+                    cloud,
+                    rng,
+                    workers,
+                    ..
+                } = &mut *inner;
+                let rng = RefCell::new(rng);
+                let (answer, gone) = cloud.serve(&request, now, |n| {
+                    rng.borrow_mut().random_range(0..n.max(1))
+                });
+                for id in gone {
+                    workers.remove(&id);
+                }
+                Ok(answer)
+            }
+            Place::Zone(_) => {
+                let mut inner = self.inner.borrow_mut();
+                let Inside { workers, jobs, .. } = &mut *inner;
+                let Some(worker) = workers.get_mut(&worker_id(to)) else {
+                    return Err(ClientError::NotSent);
+                };
+                let (status, report) = if request.method == Method::Get {
+                    (200, worker.report())
+                } else {
+                    let body: Value = serde_json::from_slice(&request.body).unwrap();
+                    worker.direct(&body, jobs, now)
+                };
+                Ok(Response::new(status, report.to_string().into_bytes()))
+            }
+        }
+    }
+
+    async fn state(&self, node: usize, request: Request) -> Result<Response, ClientError> {
+        let now = Instant::now();
+        let down = {
+            let inner = self.inner.borrow();
+            inner.faults.state_until.is_some_and(|t| now < t) || inner.faults.is_refused(node, now)
+        };
+        if down {
+            return Ok(Response::new(503, b"{}".to_vec()));
+        }
+        let served = self.inner.borrow_mut().state.serve(&request, now);
+        match served {
+            Served::Answer(answer) => Ok(answer),
+            Served::Block {
+                prefix,
+                after,
+                until,
+            } => loop {
+                sleep(Duration::from_millis(15)).await;
+                let now = Instant::now();
+                let inner = self.inner.borrow();
+                let stuck = inner.faults.state_until.is_some_and(|t| now < t)
+                    || inner.faults.is_refused(node, now);
+                if stuck {
+                    // Open watches stay open.
+                    continue;
+                }
+                if let Some(news) = inner.state.watch(&prefix, after) {
+                    return Ok(news);
+                }
+                if now >= until {
+                    return Ok(inner.state.nothing_new());
+                }
+            },
+        }
+    }
+
+    /// A request of a user or worker to some controller.
+    async fn knock(&self, node: usize, request: Request) -> Option<Response> {
+        self.latency().await;
+        let (future, life) = {
+            let inner = self.inner.borrow();
+            (
+                inner.nodes[node].as_ref()?.handle(request),
+                inner.lives[node],
+            )
+        };
+        let answer = timeout(Duration::from_secs(4), future).await.ok()?;
+        (self.inner.borrow().lives[node] == life).then_some(answer)
+    }
+
+    /// What a user gets, from any controller.
+    pub async fn ask(&self, request: &Request) -> Option<(u16, String)> {
+        let node = self.pick(NODES as u64) as usize;
+        let answer = self.knock(node, request.clone()).await?;
+        Some((answer.status, String::from_utf8(answer.body).unwrap()))
+    }
+
+    fn start_node(self: &Rc<Self>, node: usize) {
+        let skew = self.pick(100) * 1_000;
+        let origin = self.origin;
+        let clock = Clock::new(move || {
+            let since = (Instant::now() - origin).as_micros() as u64;
+            Micros(1_700_000_000_000_000 + since + skew)
+        });
+        let net = Rc::new(SimTransport {
+            world: self.clone(),
+            node,
+        });
+        let controller = Rc::new(Controller::start(self.settings[node].clone(), clock, net));
+        self.inner.borrow_mut().nodes[node] = Some(controller);
+    }
+
+    fn kill_node(&self, node: usize) {
+        let mut inner = self.inner.borrow_mut();
+        inner.lives[node] += 1;
+        let old = inner.nodes[node].take();
+        drop(inner);
+        drop(old);
+    }
+
+    fn trouble(self: &Rc<Self>, trouble: Trouble) {
+        let now = Instant::now();
+        match trouble {
+            Trouble::Crash(node, back) => {
+                self.kill_node(node);
+                let world = self.clone();
+                spawn_local(async move {
+                    sleep(back).await;
+                    world.start_node(node);
+                });
+            }
+            Trouble::Cut(a, b, time) => self.inner.borrow_mut().faults.cut(a, b, now + time),
+            Trouble::StateOutage(time) => {
+                self.inner.borrow_mut().faults.state_until = Some(now + time);
+                let world = self.clone();
+                spawn_local(async move {
+                    sleep(time).await;
+                    world.inner.borrow_mut().state.refill(Instant::now());
+                });
+            }
+            Trouble::Refused(node, time) => {
+                self.inner.borrow_mut().faults.refuse(node, now + time);
+            }
+            Trouble::CloudOutage(time) => {
+                self.inner.borrow_mut().faults.cloud_until = Some(now + time);
+            }
+            Trouble::Die => {
+                let mut inner = self.inner.borrow_mut();
+                let ids: Vec<String> = inner.workers.keys().cloned().collect();
+                if !ids.is_empty() {
+                    let n = inner.rng.random_range(0..ids.len());
+                    inner.workers.remove(&ids[n]);
+                    inner.cloud.machines.remove(&ids[n]);
+                }
+            }
+        }
+    }
+
+    /// Reports as the protocol says: regularly, and soon after a change.
+    async fn worker_loop(self: Rc<Self>, id: String) {
+        let mut last = Instant::now();
+        loop {
+            let wait = Duration::from_millis(1_875 + self.pick(1_250));
+            let due = last + wait;
+            loop {
+                sleep(Duration::from_millis(100)).await;
+                let inner = self.inner.borrow();
+                let Some(worker) = inner.workers.get(&id) else {
+                    return;
+                };
+                let soon = worker.changed && last.elapsed() >= Duration::from_millis(500);
+                if soon || Instant::now() >= due {
+                    break;
+                }
+            }
+            last = Instant::now();
+            let (report, node, tenure, place) = {
+                let mut inner = self.inner.borrow_mut();
+                let Some(worker) = inner.workers.get_mut(&id) else {
+                    return;
+                };
+                worker.changed = false;
+                let report = worker.report().to_string().into_bytes();
+                (
+                    report,
+                    worker.node,
+                    worker.tenure,
+                    Place::Zone(worker.zone.clone()),
+                )
+            };
+            let request = Request::new(Method::Post, "/hello", report);
+            let cut = self
+                .inner
+                .borrow()
+                .faults
+                .cut_until(&Place::Node(node), &place, last);
+            let answer = if let Some(until) = cut {
+                // The report is delivered late; nobody waits for the answer.
+                let world = self.clone();
+                spawn_local(async move {
+                    sleep_until(until).await;
+                    world.knock(node, request).await;
+                });
+                sleep(Duration::from_secs(4)).await;
+                None
+            } else {
+                self.knock(node, request).await
+            };
+            let now = Instant::now();
+            let next = {
+                let mut inner = self.inner.borrow_mut();
+                let Inside { workers, jobs, .. } = &mut *inner;
+                let Some(worker) = workers.get_mut(&id) else {
+                    return;
+                };
+                match answer {
+                    Some(a) if a.status == 200 => {
+                        let body: Value = serde_json::from_slice(&a.body).unwrap();
+                        worker.answered(&body, last, tenure, jobs, now);
+                        None
+                    }
+                    Some(a) if a.status == 421 => {
+                        let body: Value = serde_json::from_slice(&a.body).unwrap();
+                        let to = body["reports_to"]
+                            .as_str()
+                            .and_then(|m| m.strip_prefix("worker-")?.parse::<usize>().ok());
+                        match to {
+                            Some(to) if to != node => {
+                                worker.node = to;
+                                worker.changed = true;
+                                Some(Duration::from_millis(200))
+                            }
+                            _ => Some(Duration::from_secs(1)),
+                        }
+                    }
+                    _ => Some(Duration::from_secs(1)),
+                }
+            };
+            if let Some(pause) = next {
+                sleep(pause).await;
+                let mut inner = self.inner.borrow_mut();
+                if let Some(worker) = inner.workers.get_mut(&id) {
+                    if pause == Duration::from_secs(1) {
+                        worker.node = (worker.node + 1) % NODES;
+                    }
+                    worker.changed = true;
+                }
+            }
+        }
+    }
+
+    async fn tick_loop(self: Rc<Self>) {
+        let limits: BTreeMap<String, u64> = (0..4)
+            .map(|t| (format!("team-{t}"), (GPU_LIMIT * 1e6) as u64))
+            .collect();
+        let times = Times {
+            lease: LEASE,
+            gang_wait: Duration::from_secs(30),
+        };
+        loop {
+            sleep(Duration::from_millis(100)).await;
+            let now = Instant::now();
+            let mut fresh = Vec::new();
+            {
+                let mut inner = self.inner.borrow_mut();
+                let Inside {
+                    cloud,
+                    workers,
+                    rules,
+                    jobs,
+                    rng,
+                    state,
+                    faults,
+                    ..
+                } = &mut *inner;
+                if faults.state_until.is_none_or(|t| now >= t) {
+                    state.expire(now);
+                }
+                for machine in cloud.machines.values_mut() {
+                    if !machine.up && now >= machine.boots {
+                        machine.up = true;
+                        let node = rng.random_range(0..NODES);
+                        workers.insert(
+                            machine.id.clone(),
+                            Worker::new(&machine.id, &machine.zone, machine.spot, node, now),
+                        );
+                        fresh.push(machine.id.clone());
+                    }
+                }
+                cloud.remember(now);
+                for worker in workers.values_mut() {
+                    worker.tick(now, &times, jobs, rules);
+                }
+                gangs(workers, jobs, rules, now);
+                rules.judge(workers, jobs, &limits, CANCEL, now);
+            }
+            for id in fresh {
+                spawn_local(self.clone().worker_loop(id));
+            }
+        }
+    }
+}
+
+/// Gangs start together, complete together and fail together.
+fn gangs(
+    workers: &mut BTreeMap<String, Worker>,
+    jobs: &BTreeMap<String, JobRequest>,
+    rules: &mut Rules,
+    now: Instant,
+) {
+    use crate::workers::Phase;
+    use jasperhill_wire::{TaskId, user::Shape};
+    type Seat = (String, TaskId, Phase);
+    let mut seen: BTreeMap<(String, u64), Vec<Seat>> = BTreeMap::new();
+    for worker in workers.values() {
+        for ((task, attempt), t) in &worker.tasks {
+            if jobs
+                .get(task.job.as_str())
+                .is_some_and(|j| j.shape == Shape::Gang)
+            {
+                let key = (task.job.to_string(), *attempt);
+                seen.entry(key).or_default().push((
+                    worker.id.clone(),
+                    task.clone(),
+                    t.phase.clone(),
+                ));
+            }
+        }
+    }
+    for ((job, attempt), tasks) in seen {
+        let job = &jobs[&job];
+        let waiting = tasks
+            .iter()
+            .filter(|(.., p)| matches!(p, Phase::Waiting(_)))
+            .count();
+        let running = tasks
+            .iter()
+            .filter(|(.., p)| matches!(p, Phase::Running { .. }))
+            .count();
+        let done = tasks.iter().any(|(.., p)| *p == Phase::Exited("done"));
+        let all = job.tasks as usize;
+        let to = if waiting == all {
+            Phase::Running {
+                until: Some(now + Duration::from_micros(job.estimate.0)),
+            }
+        } else if running > 0 && done {
+            Phase::Exited("done")
+        } else if running > 0 && running < all {
+            Phase::Exited("peers")
+        } else {
+            continue;
+        };
+        for (host, task, phase) in tasks {
+            if matches!(phase, Phase::Exited(_) | Phase::Fetching(_)) {
+                continue;
+            }
+            if to == Phase::Exited("done") {
+                rules.finished(&task);
+            }
+            if let Some(worker) = workers.get_mut(&host)
+                && let Some(t) = worker.tasks.get_mut(&(task, attempt))
+            {
+                t.phase = to.clone();
+                worker.changed = true;
+            }
+        }
+    }
+}
+
+fn worker_id(to: SocketAddr) -> String {
+    let SocketAddr::V4(v4) = to else {
+        panic!("not IPv4")
+    };
+    let o = v4.ip().octets();
+    let id = format!("n-{:06}", u32::from(o[2]) * 200 + u32::from(o[3]) - 1);
+    debug_assert_eq!(address(&id), to.to_string());
+    id
+}
+
+/// Plays a plan and says what came of it.
+pub fn run(plan: Plan) -> Outcome {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        let now = Instant::now();
+        let zones = vec!["a".to_owned(), "b".to_owned()];
+        let mut cloud = Cloud::new(zones, 16, Duration::from_secs(3));
+        for n in 0..6 {
+            cloud.add(
+                if n % 2 == 0 { "a" } else { "b" },
+                false,
+                now,
+                Duration::ZERO,
+            );
+        }
+        cloud.remember(now);
+        let world = Rc::new(World {
+            inner: RefCell::new(Inside {
+                rng: StdRng::seed_from_u64(plan.seed),
+                state: StateService::default(),
+                cloud,
+                workers: BTreeMap::new(),
+                jobs: BTreeMap::new(),
+                rules: Rules::default(),
+                accepted: 0,
+                finished: 0,
+                nodes: vec![None; NODES],
+                lives: vec![0; NODES],
+                faults: Faults::default(),
+            }),
+            settings: (0..NODES).map(settings).collect(),
+            origin: now,
+        });
+        for node in 0..NODES {
+            world.start_node(node);
+        }
+        spawn_local(world.clone().tick_loop());
+        spawn_local(users::stranger(world.clone()));
+        for number in 0..plan.jobs {
+            let world = world.clone();
+            let at = now + Duration::from_millis(world.pick(plan.seconds * 700));
+            spawn_local(async move {
+                sleep_until(at).await;
+                users::follow(world, number).await;
+            });
+        }
+        let mut troubles = plan.troubles;
+        troubles.sort_by_key(|(at, _)| *at);
+        for (at, trouble) in troubles {
+            sleep_until(now + Duration::from_secs(at)).await;
+            world.trouble(trouble);
+        }
+        sleep_until(now + Duration::from_secs(plan.seconds)).await;
+        for node in 0..NODES {
+            world.kill_node(node);
+        }
+        let inner = world.inner.borrow();
+        Outcome {
+            broken: inner.rules.broken.clone(),
+            accepted: inner.accepted,
+            finished: inner.finished,
+            started: inner.rules.started,
+            most_at_once: inner.rules.most_at_once,
+        }
+    })
+}
--- /dev/null
+++ b/crates/jasperhill-testkit/tests/cluster.rs
@@ -0,0 +1,120 @@
+//! Several controllers through crashes, cuts, late delivery, outages and refusals, with every
+//! rule of the protocol checked at every step. Seeded: a failure repeats.
+
+use jasperhill_testkit::{
+    Plan,
+    faults::{Place, Trouble},
+    run,
+    world::Outcome,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::time::Duration;
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn play(seed: u64, troubles: Vec<(u64, Trouble)>) -> Outcome {
+    let outcome = run(Plan {
+        seed,
+        seconds: 300,
+        jobs: 60,
+        troubles,
+    });
+    assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
+    // A run that does nothing would prove nothing.
+    assert!(outcome.accepted > 40, "{outcome:?}");
+    assert!(outcome.started > 80, "{outcome:?}");
+    assert!(outcome.finished > 10, "{outcome:?}");
+    outcome
+}
+
+#[test]
+fn a_quiet_day_serves_everyone() {
+    let outcome = play(1, Vec::new());
+    assert!(
+        outcome.accepted >= 55 && outcome.finished >= 25,
+        "{outcome:?}"
+    );
+}
+
+#[test]
+fn all_controllers_end_within_a_state_outage() {
+    for seed in [2, 3] {
+        let mut troubles = vec![(80, Trouble::StateOutage(secs(12)))];
+        troubles.extend((0..3).map(|n| (86, Trouble::Crash(n, secs(6)))));
+        play(seed, troubles);
+    }
+}
+
+#[test]
+fn a_takeover_while_packets_are_held() {
+    for seed in [4, 5] {
+        let zone = |z: &str| Place::Zone(z.to_owned());
+        play(
+            seed,
+            vec![
+                (60, Trouble::Cut(Place::Node(0), zone("b"), secs(50))),
+                (62, Trouble::Cut(Place::Node(0), Place::State, secs(40))),
+                (64, Trouble::Cut(Place::Node(0), Place::Node(1), secs(45))),
+                (130, Trouble::Cut(Place::Node(1), zone("a"), secs(25))),
+                (132, Trouble::Crash(1, secs(30))),
+            ],
+        );
+    }
+}
+
+#[test]
+fn one_controller_is_refused_by_the_state_service_alone() {
+    for seed in [6, 7] {
+        play(
+            seed,
+            vec![
+                (50, Trouble::Refused(1, secs(40))),
+                (140, Trouble::Refused(2, secs(9))),
+            ],
+        );
+    }
+}
+
+#[test]
+fn rolling_restarts_while_the_cloud_is_down_and_machines_die() {
+    let mut troubles = vec![(60, Trouble::CloudOutage(secs(60)))];
+    troubles.extend((0..3).map(|n| (70 + 12 * n as u64, Trouble::Crash(n, secs(6)))));
+    troubles.extend((0..4).map(|n| (75 + 9 * n, Trouble::Die)));
+    play(8, troubles);
+}
+
+#[test]
+fn troubles_drawn_by_lot() {
+    for seed in 20..32 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut troubles = Vec::new();
+        for _ in 0..9 {
+            let at = rng.random_range(30..230);
+            let time = secs(rng.random_range(2..35));
+            let node = rng.random_range(0..3);
+            let zone = Place::Zone(if rng.random() { "a" } else { "b" }.to_owned());
+            troubles.push((
+                at,
+                match rng.random_range(0..8) {
+                    0 | 1 => Trouble::Crash(node, time),
+                    2 => Trouble::Cut(Place::Node(node), zone, time),
+                    3 => Trouble::Cut(Place::Node(node), Place::State, time),
+                    4 => Trouble::Cut(Place::Node(node), Place::Node((node + 1) % 3), time),
+                    5 => Trouble::StateOutage(time / 2),
+                    6 => Trouble::Refused(node, time),
+                    _ => Trouble::Die,
+                },
+            ));
+        }
+        let outcome = run(Plan {
+            seed,
+            seconds: 300,
+            jobs: 60,
+            troubles,
+        });
+        assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(outcome.started > 50, "seed {seed}: {outcome:?}");
+    }
+}
