--- a/crates/jasperhill-sched/src/job.rs
+++ b/crates/jasperhill-sched/src/job.rs
@@ -57,6 +57,8 @@
     /// The attempt of a gang under way.
     pub attempt: Option<Attempt>,
     pub preempted: u32,
+    /// Its deadline can't be met any more.
+    pub missed: bool,
 }
 
 impl Job {
@@ -86,6 +88,7 @@
             making_room: None,
             attempt: None,
             preempted: 0,
+            missed: false,
         }
     }
 
@@ -166,6 +169,9 @@
 
     /// Order of importance: production and urgent work by their bands, the rest by deadline;
     /// without a deadline last, by priority and then age.
+    ///
+    /// A deadline that can't be met any more (`missed`) is none: in deadline order it would
+    /// go first and make those miss that still can be in time.
     pub fn rank(&self) -> (u8, u64, Priority, Micros) {
         let p = self.request.priority;
         let band = match p {
@@ -173,7 +179,8 @@
             Priority::High => 1,
             Priority::Normal | Priority::Low => 2,
         };
-        (band, self.due.map_or(u64::MAX, |d| d.0), p, self.submitted)
+        let due = self.due.filter(|_| !self.missed).map_or(u64::MAX, |d| d.0);
+        (band, due, p, self.submitted)
     }
 
     /// How many more tasks a zone may hold, given where the others are.
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -17,6 +17,9 @@
 /// Tasks of one job that are booked in one pass; the rest follows in later ones.
 const BOOK_MAX: usize = 256;
 
+/// The deadline of what has missed its own.
+const FOR_EVER: Micros = Micros::from_secs(86_400);
+
 /// A replica that has run for less is not moved.
 const SETTLED: Micros = Micros::from_secs(45);
 
@@ -63,6 +66,7 @@
             reserved: BTreeMap::new(),
         };
         self.unbook_unusable(&pass);
+        self.mark_missed(now);
         let mut order: Vec<_> = self
             .jobs
             .values()
@@ -118,6 +122,30 @@
         }
     }
 
+    /// Jobs with tasks to start that can't end in time any more queue last from now on.
+    fn mark_missed(&mut self, now: Micros) {
+        let missed: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|j| !j.missed && (j.pending() > 0 || !j.booked.is_empty()))
+            .filter(|j| {
+                j.due
+                    .is_some_and(|due| now + self.estimate(&j.request) > due)
+            })
+            .map(|j| j.request.id.clone())
+            .collect();
+        for id in missed {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            job.missed = true;
+            let booked: Vec<u32> = job.booked.keys().copied().collect();
+            for i in booked {
+                self.unbook(&id, i);
+            }
+        }
+    }
+
     /// Bookings on hosts that can't be used any more are made anew.
     fn unbook_unusable(&mut self, pass: &Pass) {
         let lost: Vec<TaskId> = self
@@ -446,6 +474,7 @@
         let Some(job) = self.jobs.get(id) else { return };
         let request = job.request.clone();
         let Some(due) = job.due else { return };
+        let due = if job.missed { pass.now + FOR_EVER } else { due };
         let booked = job.booked.len() as u64;
         let mut left = BOOK_MAX;
         let mut taken = booked;
