Admission counts only machines that can still be had

Cause: the test assumed four more machines at any time, also when the cloud had refused all rentals, and admitted what then came late. The leader now tells the owners what it can still get. Kept: the test is to be truthful.

--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -14,6 +14,7 @@
 use jasperhill_wire::{
     HostId, Micros, Name, Revision,
     cloud::{HostNames, Machine, MachineList, MachinePhase, MachineTypes, RentRequest},
+    mesh::MeshRequest,
     record::{HostUse, Role, TYPES_KEY, host_key, role_key},
     state::Change,
 };
@@ -243,6 +244,7 @@
         self.release().await;
         self.assign_free();
         self.rent().await;
+        self.tell_elastic();
     }
 
     /// Reads the machine list and draws conclusions from it.
@@ -496,6 +498,42 @@
         }
     }
 
+    /// Tells the others how many machines can still be had, for their admission tests.
+    fn tell_elastic(self: &Rc<Self>) {
+        let now = self.now();
+        let machines = {
+            let mut guarded = self.state.borrow_mut();
+            let state = &mut *guarded;
+            let (Some(leader), Some(specs)) = (&state.leader, &state.specs) else {
+                return;
+            };
+            let open = specs
+                .values()
+                .flat_map(|s| s.zones.iter().map(move |z| (&s.kind, z)))
+                .flat_map(|(k, z)| [(k, z, false), (k, z, true)])
+                .filter(|(k, z, spot)| {
+                    let place = ((*k).clone(), (*z).clone(), *spot);
+                    leader.refused.get(&place).is_none_or(|until| now >= *until)
+                })
+                .count();
+            let machines = (leader.booting.len() + 3 * open) as u32;
+            state.elastic = Some((machines, now));
+            machines
+        };
+        for peer in &self.settings.peers {
+            let (inner, address) = (self.clone(), peer.address);
+            self.clone().spawn(async move {
+                inner
+                    .ask(
+                        address,
+                        MeshRequest::Elastic(machines),
+                        Micros::from_secs(1),
+                    )
+                    .await;
+            });
+        }
+    }
+
     /// The next rental, if machines are short.
     fn next_rental(&self) -> Option<RentRequest> {
         let now = self.now();
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -68,6 +68,8 @@
     pub arrivals: Arrivals,
     /// The state service answers others, but not this controller.
     pub alone: bool,
+    /// How many more machines can be had soon, as the leader last said.
+    pub elastic: Option<(u32, Micros)>,
     /// When workers were last sent to their owners.
     pub redirected: BTreeMap<HostId, Micros>,
     /// Workers whose reports come by way of another controller: when they were last tried
@@ -128,6 +130,7 @@
             first_asked: BTreeMap::new(),
             arrivals: Arrivals::new(now),
             alone: false,
+            elastic: None,
             redirected: BTreeMap::new(),
             probes: BTreeMap::new(),
             tasks: JoinSet::new(),
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -64,6 +64,10 @@
                     body: String::from_utf8(answer.body).unwrap_or_default(),
                 }
             }
+            Ok(MeshRequest::Elastic(machines)) => {
+                self.state.borrow_mut().elastic = Some((machines, self.now()));
+                MeshAnswer::Noted
+            }
             Ok(MeshRequest::IsFresh) => {
                 let now = self.now();
                 MeshAnswer::Fresh(now - self.state.borrow().authority.fresh() < FRESH)
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -255,6 +255,11 @@
             let Some(specs) = &state.specs else {
                 return MeshAnswer::Unavailable;
             };
+            // Shared by the partitions; a guess where the leader has not spoken lately.
+            let more = match state.elastic {
+                Some((n, at)) if now - at < Micros::from_secs(10) => n.div_ceil(self.settings.size),
+                _ => 1,
+            };
             let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
             let Some(partition) = state.partitions.get(&p) else {
                 return MeshAnswer::Unavailable;
@@ -265,7 +270,7 @@
                     .retain(|_, t| now - *t < Micros::from_secs(90));
             }
             let asked = state.first_asked.get(&request.id).copied().unwrap_or(now);
-            let verdict = partition.admit(&request, asked, now, (4, boot.scale(1.3)));
+            let verdict = partition.admit(&request, asked, now, (more, boot.scale(1.3)));
             if verdict == Verdict::Refuse && state.first_asked.len() <= ASKED_MAX {
                 state.first_asked.insert(request.id.clone(), asked);
             }
--- a/crates/jasperhill-wire/src/mesh.rs
+++ b/crates/jasperhill-wire/src/mesh.rs
@@ -23,6 +23,8 @@
     Relay(String),
     /// Whether the state service answers there.
     IsFresh,
+    /// From the leader: how many more machines can be had soon.
+    Elastic(u32),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +47,7 @@
         body: String,
     },
     Fresh(bool),
+    Noted,
 }
 
 #[derive(Debug, thiserror::Error)]
