--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -90,6 +90,7 @@
             if leads && self.has_authority() {
                 self.lead().await;
             }
+            self.tell_unmet();
             self.clone().give_up();
             sleep(Duration::from_secs(1)).await;
         }
@@ -173,10 +174,15 @@
             .iter()
             .enumerate()
             .map(|(p, need): (usize, &Need)| {
-                let coming = state.arrivals.expected(p as u32, boot, now);
+                let expected = state.arrivals.expected(p as u32, boot, now);
+                let coming = expected
+                    + match state.unmet.get(&(p as u32)) {
+                        Some((hosts, at)) if now - *at < Micros::from_secs(8) => *hosts,
+                        _ => 0.0,
+                    };
                 Stock {
                     want: (need.total() * head + coming + 0.5).ceil() as i64,
-                    want_ordinary: (need.ordinary * head + coming + 0.5).ceil() as i64,
+                    want_ordinary: (need.ordinary * head + expected + 0.5).ceil() as i64,
                     want_first: (need.pressing * head + 0.5).ceil() as i64,
                     ..Stock::default()
                 }
@@ -498,6 +504,40 @@
         }
     }
 
+    /// Refused jobs come again: the fleet grows for them as for accepted ones.
+    fn tell_unmet(self: &Rc<Self>) {
+        let now = self.now();
+        let mut tell = Vec::new();
+        {
+            let mut guarded = self.state.borrow_mut();
+            let state = &mut *guarded;
+            for p in state.partitions.keys() {
+                let hosts: f64 = state
+                    .first_asked
+                    .values()
+                    .filter(|r| r.partition == *p && now - r.last < Micros::from_secs(6))
+                    .map(|r| r.hosts / 1.5)
+                    .sum();
+                let old = state.unmet.insert(*p, (hosts, now)).map_or(0.0, |(h, _)| h);
+                if hosts > 0.0 || old > 0.0 {
+                    tell.push((*p, (hosts * 1e3) as u32));
+                }
+            }
+        }
+        for (partition, thousandths) in tell {
+            for peer in &self.settings.peers {
+                let (inner, address) = (self.clone(), peer.address);
+                self.clone().spawn(async move {
+                    let ask = MeshRequest::Unmet {
+                        partition,
+                        thousandths,
+                    };
+                    inner.ask(address, ask, Micros::from_secs(1)).await;
+                });
+            }
+        }
+    }
+
     /// Tells the others how many machines can still be had, for their admission tests.
     fn tell_elastic(self: &Rc<Self>) {
         let now = self.now();
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -41,6 +41,15 @@
     Duration::from_micros(t.0)
 }
 
+/// A job that was refused and may come again.
+pub(crate) struct Refused {
+    pub first: Micros,
+    pub last: Micros,
+    pub partition: u32,
+    /// The hosts it would need.
+    pub hosts: f64,
+}
+
 /// All that changes.
 pub(crate) struct State {
     pub authority: Authority,
@@ -64,7 +73,9 @@
     pub bumping: BTreeSet<HostId>,
     pub releasing: BTreeSet<HostId>,
     /// When refused jobs were first asked for, so that a retry does not get more time.
-    pub first_asked: BTreeMap<JobId, Micros>,
+    pub first_asked: BTreeMap<JobId, Refused>,
+    /// The hosts that refused jobs would need, by partition, and since when that is known.
+    pub unmet: BTreeMap<u32, (f64, Micros)>,
     pub arrivals: Arrivals,
     /// The state service answers others, but not this controller.
     pub alone: bool,
@@ -128,6 +139,7 @@
             bumping: BTreeSet::new(),
             releasing: BTreeSet::new(),
             first_asked: BTreeMap::new(),
+            unmet: BTreeMap::new(),
             arrivals: Arrivals::new(now),
             alone: false,
             elastic: None,
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -68,6 +68,16 @@
                 self.state.borrow_mut().elastic = Some((machines, self.now()));
                 MeshAnswer::Noted
             }
+            Ok(MeshRequest::Unmet {
+                partition,
+                thousandths,
+            }) => {
+                if partition < self.settings.size {
+                    let unmet = (f64::from(thousandths) / 1e3, self.now());
+                    self.state.borrow_mut().unmet.insert(partition, unmet);
+                }
+                MeshAnswer::Noted
+            }
             Ok(MeshRequest::IsFresh) => {
                 let now = self.now();
                 MeshAnswer::Fresh(now - self.state.borrow().authority.fresh() < FRESH)
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -1,7 +1,7 @@
 //! What users ask: submissions, polls, cancellations, readiness.
 
 use crate::{
-    controller::Inner,
+    controller::{Inner, Refused},
     mirror::JobEntry,
     store::{Urgency, Written, guard, put},
 };
@@ -267,12 +267,21 @@
             if state.first_asked.len() > ASKED_MAX {
                 state
                     .first_asked
-                    .retain(|_, t| now - *t < Micros::from_secs(90));
+                    .retain(|_, r| now - r.last < Micros::from_secs(40));
             }
-            let asked = state.first_asked.get(&request.id).copied().unwrap_or(now);
+            let asked = state.first_asked.get(&request.id).map_or(now, |r| r.first);
             let verdict = partition.admit(&request, asked, now, (more, boot.scale(1.3)));
-            if verdict == Verdict::Refuse && state.first_asked.len() <= ASKED_MAX {
-                state.first_asked.insert(request.id.clone(), asked);
+            if verdict == Verdict::Admit {
+                state.first_asked.remove(&request.id);
+            } else if state.first_asked.len() <= ASKED_MAX {
+                let hosts = jasperhill_sched::fleet::hosts_for(&request, specs);
+                let refused = Refused {
+                    first: asked,
+                    last: now,
+                    partition: p,
+                    hosts,
+                };
+                state.first_asked.insert(request.id.clone(), refused);
             }
             (verdict, p, partition.since)
         };
--- a/crates/jasperhill-sched/src/config.rs
+++ b/crates/jasperhill-sched/src/config.rs
@@ -40,7 +40,7 @@
         Self {
             uncertainty: 1.0,
             headroom: 0.1,
-            idle_keep: Micros::from_secs(20),
+            idle_keep: Micros::from_secs(8),
         }
     }
 }
--- a/crates/jasperhill-sched/src/fleet.rs
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -25,6 +25,17 @@
     request.tasks - DoneSet::from_runs(request.tasks, finished).count()
 }
 
+/// Hosts that all tasks of a job would fill, or as many as a team may use at once.
+pub fn hosts_for(request: &JobRequest, specs: &Specs) -> f64 {
+    specs
+        .values()
+        .find(|s| request.allows_type(&s.kind) && request.each.fits(&s.capacity))
+        .map_or(0.0, |s| {
+            let per_host = request.each.count_in(&s.capacity).clamp(1, 1 << 20) as f64;
+            (f64::from(request.tasks) / per_host).min(50.0)
+        })
+}
+
 /// Hosts needed, as fractions that add up.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Need {
@@ -127,12 +138,7 @@
     }
 
     pub fn note(&mut self, partition: u32, request: &JobRequest, specs: &Specs, now: Micros) {
-        let spec = specs
-            .values()
-            .find(|s| request.allows_type(&s.kind) && request.each.fits(&s.capacity));
-        let Some(spec) = spec else { return };
-        let per_host = request.each.count_in(&spec.capacity).clamp(1, 1 << 20) as f64;
-        let share = f64::from(request.tasks) / per_host;
+        let share = hosts_for(request, specs);
         let flow = self
             .flows
             .entry((partition, request.class.clone()))
--- a/crates/jasperhill-wire/src/mesh.rs
+++ b/crates/jasperhill-wire/src/mesh.rs
@@ -25,6 +25,8 @@
     IsFresh,
     /// From the leader: how many more machines can be had soon.
     Elastic(u32),
+    /// From an owner: the hosts that refused jobs would need, in thousandths.
+    Unmet { partition: u32, thousandths: u32 },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
