--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -45,6 +45,8 @@
     last_list: Micros,
     complete: bool,
     free_since: BTreeMap<HostId, Micros>,
+    /// Machines returned already, which the list may still show.
+    returned: BTreeMap<HostId, Micros>,
 }
 
 impl Leader {
@@ -59,6 +61,7 @@
             last_list: now - Micros::from_secs(3_000),
             complete: false,
             free_since: BTreeMap::new(),
+            returned: BTreeMap::new(),
         }
     }
 }
@@ -315,7 +318,8 @@
             leader
                 .listed
                 .retain(|id, first| present.contains(id) || sent < *first + old + old);
-            for machine in &all {
+            leader.returned.retain(|_, at| now < *at + old + old);
+            for machine in all.iter().filter(|m| !leader.returned.contains_key(&m.id)) {
                 let first = *leader.listed.entry(machine.id.clone()).or_insert(now);
                 if mirror.hosts.contains_key(&machine.id) {
                     leader.booting.remove(&machine.id);
@@ -428,11 +432,15 @@
             return;
         }
         let mut deletes = Vec::new();
+        let now = self.now();
         {
             let mut state = self.state.borrow_mut();
             for id in names {
                 tracing::info!(host = %id, "returned to the cloud");
                 state.releasing.remove(&id);
+                if let Some(leader) = state.leader.as_mut() {
+                    leader.returned.insert(id.clone(), now);
+                }
                 if let Some(kept) = state.mirror.hosts.get(&id) {
                     deletes.push((id, kept.version));
                 }
