--- a/crates/jasperhill-sched/src/fleet.rs
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -162,6 +162,6 @@
                 variance += flow.squares / span * boot.as_secs_f64();
             }
         }
-        mean + variance.sqrt()
+        mean + 2.0 * variance.sqrt()
     }
 }
