--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -17,6 +17,9 @@
 /// Tasks of one job that are booked in one pass; the rest follows in later ones.
 const BOOK_MAX: usize = 256;
 
+/// What it is worth to leave an empty machine whole.
+const BREAK_MS: u64 = 4_000;
+
 /// The deadline of what has missed its own.
 const FOR_EVER: Micros = Micros::from_secs(86_400);
 
@@ -274,16 +277,21 @@
             && job.zone_room(&host.zone, |h| self.zone_of(h)) > 0
     }
 
-    /// How well a host suits a task that starts now: quick to start, then tightly packed.
-    fn cost(host: &Host, room: &Resources, request: &JobRequest, now: Micros) -> (u64, u64, u64) {
+    /// How well a host suits a task that starts now, in milliseconds of wait that it is worth:
+    /// quick to start, then tightly packed, so that whole machines stay free for gangs.
+    fn cost(host: &Host, room: &Resources, request: &JobRequest, now: Micros) -> u64 {
         let delay = start_delay(host, request, now).scale(host.slowness.clamp(1.0, 2.0));
-        let slow = if host.slowness > 1.5 { 1 } else { 0 };
+        let slow = if host.slowness > 1.5 { 30_000 } else { 0 };
         // Work that may run on cheap machines leaves the ordinary ones to the rest.
-        let kind = u64::from(request.spot != host.spot);
-        let left = 1000.0 * request.each.share_of(&host.spec.capacity)
-            - 1000.0 * request.each.share_of(room);
-        let tight = (left + 10_000.0).max(0.0) as u64;
-        (delay.0 / 1_000_000 + slow * 30, kind, tight)
+        let kind = if request.spot != host.spot { 2_000 } else { 0 };
+        let small = request.each.count_in(&host.spec.capacity) >= 2;
+        let breaks = if small && room == &host.spec.capacity {
+            BREAK_MS
+        } else {
+            0
+        };
+        let tight = 1_000.0 * (1.0 - request.each.share_of(room).min(1.0));
+        delay.0 / 1_000 + slow + kind + breaks + tight as u64
     }
 
     fn start(
@@ -702,7 +710,7 @@
                 }
                 *used += 1;
                 room -= request.each;
-                worst = worst.max(cost.0);
+                worst = worst.max(cost);
                 hosts.push(host.id.clone());
             }
         }
