--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -676,7 +676,13 @@
                     self.start(pass, id, i as u32, &host, Some(attempt));
                 }
             }
-            None => self.reserve(pass, id, &request),
+            None => {
+                let urgent = request.priority == jasperhill_wire::user::Priority::High;
+                if urgent && request.tasks == 1 && job.making_room.is_none() {
+                    self.make_room(pass, id, 0, Micros::MAX);
+                }
+                self.reserve(pass, id, &request);
+            }
         }
     }
 
