--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -666,21 +666,6 @@
                 best = Some((cost, hosts));
             }
         }
-        let urgent =
-            request.priority == jasperhill_wire::user::Priority::High && request.tasks == 1;
-        if urgent && let Some((_, hosts)) = &best {
-            let wait = hosts
-                .first()
-                .and_then(|h| self.hosts.get(h))
-                .map_or(Micros::ZERO, |h| start_delay(h, &request, pass.now));
-            // As for production: not behind an image where lesser work can make way.
-            if wait > self.config.patience(&request.class)
-                && (job.making_room.is_some() || self.make_room(pass, id, 0, wait))
-            {
-                return;
-            }
-        }
-        let Some(job) = self.jobs.get(id) else { return };
         match best {
             Some((_, hosts)) => {
                 let attempt = self.next_attempt();
@@ -692,7 +677,8 @@
                 }
             }
             None => {
-                if urgent && job.making_room.is_none() {
+                let urgent = request.priority == jasperhill_wire::user::Priority::High;
+                if urgent && request.tasks == 1 && job.making_room.is_none() {
                     self.make_room(pass, id, 0, Micros::MAX);
                 }
                 self.reserve(pass, id, &request);
