--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -738,9 +738,7 @@
                 if stock.have > stock.want {
                     partition.drain_one(now, stock.have_ordinary > stock.want_ordinary);
                 }
-                // The dear ones first.
-                let mut ids: Vec<HostId> = partition.hosts.keys().cloned().collect();
-                ids.sort_by_key(|id| partition.hosts.get(id).is_some_and(|h| h.spot));
+                let ids: Vec<HostId> = partition.hosts.keys().cloned().collect();
                 for id in ids {
                     let Some(host) = partition.hosts.get(&id) else {
                         continue;
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -182,16 +182,11 @@
                     })
                 })
             })
-            .map(|h| {
-                (
-                    h.spot,
-                    h.tasks.values().filter(|t| t.is_on()).count(),
-                    h.id.clone(),
-                )
-            })
-            .filter(|(_, tasks, _)| (1..=4).contains(tasks))
+            .map(|h| (h.tasks.values().filter(|t| t.is_on()).count(), h.id.clone()))
+            .filter(|(tasks, _)| *tasks > 0)
             .min();
-        if let Some((_, _, id)) = chosen
+        if let Some((tasks, id)) = chosen
+            && tasks <= 4
             && let Some(host) = self.hosts.get_mut(&id)
         {
             host.draining = Some(now);
