--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -166,7 +166,7 @@
     /// fewest replicas, if all of them can go on at once elsewhere.
     pub fn drain_one(&mut self, now: Micros, ordinary: bool) {
         let config = self.config.clone();
-        if self.has_ghosts() || self.hosts.values().filter(|h| h.draining.is_some()).count() >= 2 {
+        if self.has_ghosts() || self.hosts.values().any(|h| h.draining.is_some()) {
             return;
         }
         let chosen = self
@@ -186,7 +186,7 @@
             .filter(|(tasks, _)| *tasks > 0)
             .min();
         if let Some((tasks, id)) = chosen
-            && tasks <= 8
+            && tasks <= 4
             && let Some(host) = self.hosts.get_mut(&id)
         {
             host.draining = Some(now);
