--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -330,7 +330,6 @@
 
     /// Writes results. What is only partly done can wait a little, and then goes together.
     pub fn save_results(self: Rc<Self>) {
-        let now = self.now();
         let mut due = Vec::new();
         {
             let mut guarded = self.state.borrow_mut();
@@ -353,7 +352,6 @@
                 }
             }
         }
-        let _ = now;
         for (p, id, whole) in due {
             self.clone().spawn(self.clone().save(p, id, whole));
         }
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -316,8 +316,10 @@
                     } else if let Some(host) = self.hosts.get_mut(id) {
                         host.errors += 1;
                         if host.errors >= 2 {
+                            if host.aside_until.is_none_or(|t| now >= t) {
+                                self.notes.push(Note::HostAside(id.clone()));
+                            }
                             host.aside_until = Some(now + Micros::from_secs(60));
-                            self.notes.push(Note::HostAside(id.clone()));
                         }
                     }
                 }
