Rentable machines in the admission test: at most two rounds, less what is late

Cause: the test promised up to eight rounds on machines not rented yet, and the same ones to every job. Kept: the test is to be truthful.

--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -838,12 +838,15 @@
                 + elastic.1
                 + fetch_time(request.image_gb, spec).scale(self.config.tuning.uncertainty);
             if ready + estimate <= due {
-                let waves = ((due - ready).0 / estimate.0.max(1)).clamp(1, 8);
+                let waves = ((due - ready).0 / estimate.0.max(1)).clamp(1, 2);
                 rented = u64::from(elastic.0)
                     * request.each.count_in(&spec.capacity).min(1 << 20)
                     * waves;
             }
         }
+        // Work that is late already takes its part of them.
+        let late: usize = copies.values().map(|c| c.3).sum();
+        rented = rented.saturating_sub(late as u64);
         for i in 0..tested {
             let task = TaskId::new(&request.id, i);
             let mut best: Option<(f64, HostId, Vec<Booking>)> = None;
