--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -9,7 +9,7 @@
 use jasperhill_sched::{
     Reach,
     config::specs,
-    fleet::{Demand, Need, plan, unfinished},
+    fleet::{Demand, Need, plan},
 };
 use jasperhill_wire::{
     HostId, Micros, Name, Revision,
@@ -165,7 +165,7 @@
                 Some(Demand {
                     request: &job.request,
                     partition: self.partition_of(&job.request.team)?,
-                    unfinished: unfinished(&job.request, &job.finished),
+                    unfinished: job.request.tasks.saturating_sub(job.done_count),
                     left: job.request.deadline.map(|d| (job.submitted + d) - wall),
                 })
             })
@@ -736,7 +736,7 @@
                     self.settings.own.tuning.idle_keep
                 };
                 if stock.have > stock.want {
-                    partition.drain_one(now, stock.have_ordinary > stock.want_ordinary);
+                    partition.drain_some(now, stock.have_ordinary > stock.want_ordinary, 1);
                 }
                 let ids: Vec<HostId> = partition.hosts.keys().cloned().collect();
                 for id in ids {
--- /dev/null
+++ b/crates/jasperhill-sched/src/book.rs
@@ -0,0 +1,347 @@
+//! Admitted work with deadlines: the admission test, bookings in the hosts' queues by the
+//! forward run, and the starts of booked tasks.
+
+use crate::{
+    config::fetch_time,
+    forward::{Booking, Occupied, density, insert, misses, place, remaining},
+    host::{Host, TaskState},
+    job::{Job, TaskStep},
+    partition::{Partition, Verdict},
+    pass::Pass,
+    suit::start_delay,
+};
+use jasperhill_wire::{HostId, JobId, Micros, TaskId, user::JobRequest};
+use std::{
+    cmp::{Ordering, Reverse},
+    collections::{BTreeMap, BinaryHeap},
+};
+
+/// Tasks of one job that are booked in one pass; the rest follows in later ones.
+const BOOK_MAX: u64 = 256;
+
+/// The deadline of what has missed its own.
+pub(crate) const FOR_EVER: Micros = Micros::from_secs(86_400);
+
+/// What a host would make of one more booking: fewer new misses first, then the lower
+/// density, then the host's place.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Rank {
+    missed: usize,
+    dense: f64,
+    slot: usize,
+}
+
+impl Eq for Rank {}
+impl PartialOrd for Rank {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Rank {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.missed
+            .cmp(&other.missed)
+            .then(self.dense.total_cmp(&other.dense))
+            .then(self.slot.cmp(&other.slot))
+    }
+}
+
+impl Partition {
+    pub(crate) fn booking(
+        &self,
+        host: &Host,
+        task: &TaskId,
+        request: &JobRequest,
+        due: Micros,
+        now: Micros,
+    ) -> Booking {
+        let delay = start_delay(host, request, now).scale(self.config.tuning.uncertainty);
+        Booking {
+            task: task.clone(),
+            each: request.each,
+            adjusted: due - delay,
+            estimate: self.estimate(request).scale(host.slowness.max(1.0)),
+        }
+    }
+
+    /// What holds room on a host and until about when, the soonest to end last.
+    pub(crate) fn occupied(&self, host: &Host, now: Micros) -> Vec<Occupied> {
+        let mut occupied: Vec<Occupied> = host
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.is_on())
+            .map(|(task, t)| {
+                let until = match (self.jobs.get(&task.job), t.stopping) {
+                    (Some(_), Some((grace, since))) => {
+                        (since + grace).max(now) + Micros::from_secs(1)
+                    }
+                    (Some(j), None) if j.is_service() => Micros::MAX,
+                    (Some(j), None) => {
+                        let (began, wait) = match (t.running, t.state) {
+                            (Some(began), _) => (began, Micros::ZERO),
+                            (None, TaskState::Fetching | TaskState::Ordered) => {
+                                (now, start_delay(host, &j.request, now))
+                            }
+                            _ => (now, Micros::ZERO),
+                        };
+                        let estimate = self.estimate(&j.request).scale(host.slowness.max(1.0));
+                        now + wait + remaining(estimate, now - began)
+                    }
+                    (None, _) => now + Micros::from_secs(2),
+                };
+                Occupied {
+                    until,
+                    each: t.each,
+                }
+            })
+            .collect();
+        occupied.sort_by_key(|o| Reverse(o.until));
+        occupied
+    }
+
+    /// The forward run on one host with one more booking: new misses, and the density.
+    fn rank(&self, host: &Host, slot: usize, booking: &Booking, now: Micros) -> Rank {
+        let room = host.room();
+        if host.queue.is_empty() && booking.each.fits(&room) {
+            // Starts at once: nothing else bears on it.
+            let missed = usize::from(now + booking.estimate > booking.adjusted);
+            let dense = density(now, [booking]);
+            return Rank {
+                missed,
+                dense,
+                slot,
+            };
+        }
+        let running = self.occupied(host, now);
+        let before = misses(now, room, &running, &host.queue);
+        let (head, tail) = host.queue.split_at(place(&host.queue, booking));
+        let with = || head.iter().chain([booking]).chain(tail);
+        Rank {
+            missed: misses(now, room, &running, with()).saturating_sub(before),
+            dense: density(now, with()),
+            slot,
+        }
+    }
+
+    /// Books pending tasks of an admitted job, as far as the team's limit goes. The forward
+    /// run over all hosts is made once for the job: its tasks are equal, and a booking
+    /// changes the outcome only on the host that got it.
+    ///
+    /// An admitted task that would miss everywhere goes where the fewest do.
+    pub(crate) fn book(&mut self, pass: &Pass, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        if job.pending() == 0 {
+            return;
+        }
+        let request = job.request.clone();
+        let Some(due) = job.due else { return };
+        let due = if job.missed { pass.now + FOR_EVER } else { due };
+        let taken = job.booked.len() as u64;
+        if !self.limit_allows(pass, &request, taken + 1) {
+            return;
+        }
+        let zones = self.zone_rooms(job);
+        let any = TaskId::new(id, 0);
+        let mut heap: BinaryHeap<Reverse<Rank>> = self
+            .with_slots(pass)
+            .filter(|(_, slot, host)| {
+                slot.usable
+                    && Self::suits(job, host)
+                    && zones.allows(&host.zone)
+                    && request.each.fits(&host.spec.capacity)
+            })
+            .map(|(i, _, host)| {
+                let booking = self.booking(host, &any, &request, due, pass.now);
+                Reverse(self.rank(host, i, &booking, pass.now))
+            })
+            .collect();
+        for more in 1..=BOOK_MAX {
+            if !self.limit_allows(pass, &request, taken + more) {
+                return;
+            }
+            let Some(i) = self.jobs.get_mut(id).and_then(Job::next_pending) else {
+                return;
+            };
+            let task = TaskId::new(id, i);
+            let mut aside = Vec::new();
+            let mut chosen = None;
+            while let Some(Reverse(rank)) = heap.pop() {
+                let host = &pass.slots[rank.slot].id;
+                // A host that still lists this task as exited refuses it.
+                let listed = |h: &Host| h.tasks.contains_key(&task);
+                if self.hosts.get(host).is_some_and(listed) {
+                    aside.push(Reverse(rank));
+                } else {
+                    chosen = Some((rank.slot, host.clone()));
+                    break;
+                }
+            }
+            heap.extend(aside);
+            let Some((slot, id)) = chosen else { return };
+            let Some(host) = self.hosts.get(&id) else {
+                return;
+            };
+            let booking = self.booking(host, &task, &request, due, pass.now);
+            if let Some(host) = self.hosts.get_mut(&id) {
+                insert(&mut host.queue, booking.clone());
+            }
+            self.set_step(&task, TaskStep::Booked(id.clone()));
+            if let Some(host) = self.hosts.get(&id) {
+                heap.push(Reverse(self.rank(host, slot, &booking, pass.now)));
+            }
+        }
+    }
+
+    /// Starts booked tasks: from the head of their hosts' queues, and on any host that has
+    /// room and no queue of its own.
+    pub(crate) fn start_booked(&mut self, pass: &mut Pass, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let request = job.request.clone();
+        if job.booked.is_empty() || pass.is_hopeless(&request.each) {
+            return;
+        }
+        let booked: Vec<(u32, HostId)> = job.booked.iter().map(|(i, h)| (*i, h.clone())).collect();
+        let mut zones = self.zone_rooms(job);
+        let mut spare = self.candidates(pass, job, true);
+        // The hosts of its own bookings that have room; few when the fleet is full.
+        let mut homes: BTreeMap<&HostId, Option<usize>> = BTreeMap::new();
+        for (i, home) in &booked {
+            if !self.limit_allows(pass, &request, 1) {
+                return;
+            }
+            let at = *homes.entry(home).or_insert_with(|| {
+                pass.slot(home)
+                    .filter(|at| pass.fits(*at, id, &request.each))
+            });
+            let Some(job) = self.jobs.get(id) else { return };
+            let home_fits = at.filter(|at| {
+                pass.fits(*at, id, &request.each)
+                    && self.hosts.get(home).is_some_and(|h| {
+                        Self::suits(job, h)
+                            && zones.allows(&h.zone)
+                            && !h.tasks.contains_key(&TaskId::new(id, *i))
+                    })
+            });
+            let target =
+                home_fits.or_else(|| self.best(pass, &mut spare, &zones, (id, &request.each), *i));
+            let Some(slot) = target else { continue };
+            self.start(pass, id, *i, slot, None);
+            if let Some(zone) = self.zone_of(&pass.slots[slot].id) {
+                zones.add(&zone);
+            }
+            self.judge(pass, &mut spare, slot, &request, true);
+        }
+    }
+
+    /// The admission test for a job with a deadline that nobody has accepted yet.
+    /// `elastic`: how many more machines can be had, after how long.
+    ///
+    /// Its tasks are equal and those on one host do not bear on another, so that the job
+    /// passes if the hosts together can take as many as it has, whatever their order: each
+    /// is played until it would miss, and no further host once there is enough.
+    pub fn admit(
+        &self,
+        request: &JobRequest,
+        submitted: Micros,
+        now: Micros,
+        elastic: (u32, Micros),
+    ) -> Verdict {
+        let Some(deadline) = request.deadline else {
+            return Verdict::Admit;
+        };
+        let due = submitted + deadline;
+        let estimate = self.estimate(request);
+        if due - now <= estimate {
+            return Verdict::Refuse;
+        }
+        // What lies beyond the team's limit waits unadmitted: only the part within it is tested.
+        let Some(team) = self.config.team(&request.team) else {
+            return Verdict::Refuse;
+        };
+        let used = self.team_use(&request.team, self.has_ghosts());
+        let mut tested = 0;
+        while tested < request.tasks.min(BOOK_MAX as u32)
+            && team.allows(&(used + request.each.times(u64::from(tested) + 1)))
+        {
+            tested += 1;
+        }
+        let hosts = || {
+            self.hosts
+                .values()
+                .filter(|h| h.is_usable(now, &self.config))
+                .filter(|h| request.allows_host(&h.spec.kind, &h.zone, h.spot))
+                .filter(|h| request.each.fits(&h.spec.capacity))
+        };
+        let (mut found, mut late) = (0, 0);
+        for host in hosts() {
+            if found >= tested {
+                return Verdict::Admit;
+            }
+            let (can, misses) = self.takes(host, request, due, now, tested - found);
+            found += can;
+            late += misses;
+        }
+        if found >= tested {
+            return Verdict::Admit;
+        }
+        // Work that is late already takes its part of the machines that could be rented now.
+        let rented = self
+            .rentable(request, due, now, elastic)
+            .saturating_sub(late as u64);
+        if u64::from(tested - found) <= rented {
+            Verdict::Admit
+        } else {
+            Verdict::Refuse
+        }
+    }
+
+    /// How many tasks of a job a host can take without a new miss, at most `most`, and how
+    /// many bookings miss there already.
+    fn takes(
+        &self,
+        host: &Host,
+        request: &JobRequest,
+        due: Micros,
+        now: Micros,
+        most: u32,
+    ) -> (u32, usize) {
+        let (room, running) = (host.room(), self.occupied(host, now));
+        let before = misses(now, room, &running, &host.queue);
+        let booking = self.booking(host, &TaskId::new(&request.id, 0), request, due, now);
+        let at = place(&host.queue, &booking);
+        let (head, tail) = host.queue.split_at(at);
+        let mut can = 0;
+        while can < most {
+            let more = std::iter::repeat_n(&booking, can as usize + 1);
+            if misses(now, room, &running, head.iter().chain(more).chain(tail)) > before {
+                break;
+            }
+            can += 1;
+        }
+        (can, before)
+    }
+
+    /// Tasks for which machines could be rented now: they begin empty, and late.
+    fn rentable(
+        &self,
+        request: &JobRequest,
+        due: Micros,
+        now: Micros,
+        elastic: (u32, Micros),
+    ) -> u64 {
+        let spec = self
+            .specs
+            .values()
+            .find(|s| request.allows_type(&s.kind) && request.each.fits(&s.capacity));
+        let Some(spec) = spec else { return 0 };
+        let estimate = self.estimate(request);
+        let ready = now
+            + elastic.1
+            + fetch_time(request.image_gb, spec).scale(self.config.tuning.uncertainty);
+        if ready + estimate > due {
+            return 0;
+        }
+        let waves = ((due - ready).0 / estimate.0.max(1)).clamp(1, 2);
+        u64::from(elastic.0) * request.each.count_in(&spec.capacity).min(1 << 20) * waves
+    }
+}
--- a/crates/jasperhill-sched/src/fleet.rs
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -1,10 +1,7 @@
 //! The fleet plan: how many hosts each partition needs, from the job records alone, so that
 //! every controller comes to the same answer.
 
-use crate::{
-    config::{SchedConfig, Specs},
-    done::DoneSet,
-};
+use crate::config::{SchedConfig, Specs};
 use jasperhill_wire::{
     Micros, Name,
     user::{JobRequest, Priority, Shape},
@@ -21,10 +18,16 @@
     pub left: Option<Micros>,
 }
 
-pub fn unfinished(request: &JobRequest, finished: &[u32]) -> u32 {
-    request.tasks - DoneSet::from_runs(request.tasks, finished).count()
+/// The hosts planned for a need: some more than it, since work does not pack without waste
+/// and comes in lumps. Both even out with size, so that beyond [`EVEN`] hosts the margin
+/// grows with the root only.
+pub fn with_headroom(need: f64, headroom: f64) -> f64 {
+    need + headroom * need * (EVEN / need.max(EVEN)).sqrt()
 }
 
+/// Up to this many hosts the margin is a fixed part.
+const EVEN: f64 = 16.0;
+
 /// Hosts that all tasks of a job would fill, or as many as a team may use at once.
 pub fn hosts_for(request: &JobRequest, specs: &Specs) -> f64 {
     specs
--- a/crates/jasperhill-sched/src/forward.rs
+++ b/crates/jasperhill-sched/src/forward.rs
@@ -29,51 +29,64 @@
 }
 
 /// Plays the queue from `now` and counts the tasks that would end after their adjusted
-/// deadlines.
-pub fn misses(now: Micros, mut room: Resources, running: &[Occupied], queue: &[Booking]) -> usize {
-    let mut ends: Vec<Occupied> = running.to_vec();
-    ends.sort_by_key(|o| std::cmp::Reverse(o.until));
+/// deadlines. `running` is in order of ends, the soonest last.
+pub fn misses<'a>(
+    now: Micros,
+    mut room: Resources,
+    running: &[Occupied],
+    queue: impl IntoIterator<Item = &'a Booking>,
+) -> usize {
     let (mut at, mut missed) = (now, 0);
+    // Of those that run, and of those that have been started in the play.
+    let mut left = running.len();
+    let mut started: Vec<Occupied> = Vec::new();
     for booking in queue {
         while !booking.each.fits(&room) {
-            let Some(next) = ends.pop() else {
-                return missed + 1;
+            let next = match (left.checked_sub(1).map(|i| running[i]), started.last()) {
+                (Some(r), Some(s)) if s.until < r.until => started.pop(),
+                (Some(r), _) => {
+                    left -= 1;
+                    Some(r)
+                }
+                (None, _) => started.pop(),
             };
-            if next.until == Micros::MAX {
-                // Held for good: what does not fit beside it never runs here.
-                return missed + 1;
+            match next {
+                Some(next) if next.until < Micros::MAX => {
+                    at = at.max(next.until);
+                    room += next.each;
+                }
+                // Nothing ends any more, or what holds the room holds it for good: what does
+                // not fit beside it never runs here.
+                _ => return missed + 1,
             }
-            at = at.max(next.until);
-            room += next.each;
         }
         let until = at + booking.estimate;
         if until > booking.adjusted {
             missed += 1;
         }
         room -= booking.each;
-        let place = ends.partition_point(|o| o.until > until);
-        ends.insert(
-            place,
-            Occupied {
-                until,
-                each: booking.each,
-            },
-        );
+        let place = started.partition_point(|o| o.until > until);
+        let each = booking.each;
+        started.insert(place, Occupied { until, each });
     }
     missed
 }
 
 /// The sum of estimate over time to deadline. Work whose time is up counts as dense as it gets.
-pub fn density(now: Micros, queue: &[Booking]) -> f64 {
+pub fn density<'a>(now: Micros, queue: impl IntoIterator<Item = &'a Booking>) -> f64 {
     queue
-        .iter()
+        .into_iter()
         .map(|b| b.estimate.as_secs_f64() / (b.adjusted - now).as_secs_f64().max(0.001))
         .sum()
 }
 
 /// Where a booking goes in a queue: by adjusted deadline, after its equals.
+pub fn place(queue: &[Booking], booking: &Booking) -> usize {
+    queue.partition_point(|b| b.adjusted <= booking.adjusted)
+}
+
 pub fn insert(queue: &mut Vec<Booking>, booking: Booking) {
-    let place = queue.partition_point(|b| b.adjusted <= booking.adjusted);
+    let place = place(queue, &booking);
     queue.insert(place, booking);
 }
 
--- /dev/null
+++ b/crates/jasperhill-sched/src/gang.rs
@@ -0,0 +1,229 @@
+//! Gangs: started whole or not at all, and hosts kept free for those that wait.
+
+use crate::{
+    host::Host,
+    job::{Job, KeptHosts},
+    partition::Partition,
+    pass::Pass,
+    suit::{ZoneRooms, cost},
+};
+use jasperhill_wire::{HostId, JobId, Micros, Name, Resources, user::JobRequest};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long the choice of hosts kept for a waiting gang stands before it is made anew.
+const KEPT_FOR: Micros = Micros::from_secs(1);
+/// Gangs that may keep hosts however few there are.
+const KEEPERS: usize = 2;
+/// Beyond these, no more than this part of the hosts is kept.
+const KEPT_PART: usize = 8;
+
+impl Partition {
+    /// Starts a gang whole or not at all.
+    pub(crate) fn start_gang(&mut self, pass: &mut Pass, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let request = job.request.clone();
+        if !job.live.is_empty() || !job.unsaved.is_empty() {
+            return;
+        }
+        if !self.limit_allows(pass, &request, u64::from(request.tasks)) {
+            return;
+        }
+        let mut best: Option<(u64, Vec<usize>)> = None;
+        if !pass.is_hopeless(&request.each) {
+            for zones in self.zone_sets(pass, &request) {
+                if let Some((cost, slots)) = self.seats(pass, job, &request, &zones)
+                    && best.as_ref().is_none_or(|(c, _)| cost < *c)
+                {
+                    best = Some((cost, slots));
+                }
+            }
+        }
+        match best {
+            Some((_, slots)) => {
+                let attempt = self.next_attempt();
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.attempt = Some(attempt);
+                    job.kept = None;
+                    job.making_room.clear();
+                }
+                for (i, slot) in slots.into_iter().enumerate() {
+                    self.start(pass, id, i as u32, slot, Some(attempt));
+                }
+            }
+            None => {
+                self.reserve(pass, id, &request);
+                self.make_gang_room(pass, id);
+                self.hold(pass, id);
+            }
+        }
+    }
+
+    /// The sets of zones that a gang may be spread over.
+    fn zone_sets(&self, pass: &Pass, request: &JobRequest) -> Vec<BTreeSet<Name>> {
+        let zones: BTreeSet<Name> = self
+            .with_slots(pass)
+            .filter(|(_, slot, _)| slot.usable && request.each.fits(&slot.room))
+            .map(|(_, _, h)| &h.zone)
+            .filter(|z| request.zone.as_ref().is_none_or(|want| want == *z))
+            .collect::<BTreeSet<&Name>>()
+            .into_iter()
+            .cloned()
+            .collect();
+        if request.one_zone {
+            zones.into_iter().map(|z| BTreeSet::from([z])).collect()
+        } else {
+            vec![zones]
+        }
+    }
+
+    /// Hosts for every task of a gang within these zones, with room now.
+    fn seats(
+        &self,
+        pass: &Pass,
+        job: &Job,
+        request: &JobRequest,
+        zones: &BTreeSet<Name>,
+    ) -> Option<(u64, Vec<usize>)> {
+        let fitting: Vec<(usize, Resources, &Host)> = self
+            .with_slots(pass)
+            .filter(|(i, _, _)| pass.fits(*i, &request.id, &request.each))
+            .filter(|(_, _, host)| zones.contains(&host.zone) && Self::suits(job, host))
+            .filter(|(_, _, host)| !host.tasks.keys().any(|t| t.job == request.id))
+            .map(|(i, slot, host)| (i, slot.room, host))
+            .collect();
+        // Most waiting gangs end here, before any host is judged.
+        let places: u64 = fitting
+            .iter()
+            .map(|(_, room, _)| request.each.count_in(room).min(u64::from(request.tasks)))
+            .sum();
+        if places < u64::from(request.tasks) {
+            return None;
+        }
+        let mut candidates: Vec<_> = fitting
+            .into_iter()
+            .map(|(i, room, host)| (cost(host, &room, request, pass.now), i, host, room))
+            .collect();
+        candidates.sort_by_key(|(cost, i, _, _)| (*cost, *i));
+        let mut slots = Vec::new();
+        let mut by_zone: BTreeMap<&Name, u32> = BTreeMap::new();
+        let mut worst = 0;
+        for (cost, i, host, mut room) in candidates {
+            while slots.len() < request.tasks as usize && request.each.fits(&room) {
+                let used = by_zone.entry(&host.zone).or_default();
+                if *used >= request.zone_cap() {
+                    break;
+                }
+                *used += 1;
+                room -= request.each;
+                worst = worst.max(cost);
+                slots.push(i);
+            }
+        }
+        (slots.len() == request.tasks as usize).then_some((worst, slots))
+    }
+
+    /// Chooses the hosts that are free the soonest for a waiting gang, so that small work does
+    /// not hold it up for ever. Looked up again only now and then.
+    fn reserve(&mut self, pass: &mut Pass, id: &JobId, request: &JobRequest) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let stands = job.kept.as_ref().is_some_and(|k| {
+            pass.now < k.until
+                && k.hosts.iter().all(|h| {
+                    pass.slot(h).is_some_and(|i| {
+                        let slot = &pass.slots[i];
+                        slot.usable && slot.reserved.as_ref().is_none_or(|j| j == id)
+                    })
+                })
+        });
+        if stands || !self.may_keep(pass, request) {
+            return;
+        }
+        let mut ready: Vec<(Micros, usize, &Host)> = self
+            .with_slots(pass)
+            .filter(|(_, slot, _)| slot.usable && slot.reserved.is_none())
+            .filter(|(_, _, h)| Self::suits(job, h))
+            .filter_map(|(i, _, h)| self.free_at(h, &request.each, pass.now).map(|t| (t, i, h)))
+            .collect();
+        ready.sort_by_key(|(t, i, _)| (*t, *i));
+        let zone = request
+            .one_zone
+            .then(|| self.soonest_zone(&ready, request.tasks as usize))
+            .flatten();
+        let mut zones = ZoneRooms::of(job, |_| None);
+        let (mut hosts, mut at): (Vec<HostId>, Micros) = (Vec::new(), pass.now);
+        for (t, _, h) in &ready {
+            if hosts.len() == request.tasks as usize {
+                break;
+            }
+            if zone.as_ref().is_none_or(|z| z == &h.zone) && zones.allows(&h.zone) {
+                zones.add(&h.zone);
+                hosts.push(h.id.clone());
+                at = at.max(*t);
+            }
+        }
+        let whole = hosts.len() == request.tasks as usize;
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.kept = whole.then_some(KeptHosts {
+                hosts,
+                until: pass.now + KEPT_FOR,
+                ready: at,
+            });
+        }
+    }
+
+    /// The zone where that many hosts are free the soonest.
+    fn soonest_zone(&self, ready: &[(Micros, usize, &Host)], tasks: usize) -> Option<Name> {
+        let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
+        for (_, _, h) in ready {
+            let n = counts.entry(&h.zone).or_default();
+            *n += 1;
+            if *n == tasks {
+                return Some(h.zone.clone());
+            }
+        }
+        None
+    }
+
+    fn may_keep(&self, pass: &Pass, request: &JobRequest) -> bool {
+        let (gangs, hosts) = pass.reserving;
+        gangs < KEEPERS || hosts + request.tasks as usize <= pass.usable() / KEPT_PART
+    }
+
+    /// Keeps the chosen hosts for the rest of the pass.
+    fn hold(&mut self, pass: &mut Pass, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let Some(kept) = &job.kept else { return };
+        if job.making_room.is_empty() && !self.may_keep(pass, &job.request) {
+            return;
+        }
+        pass.reserving.0 += 1;
+        pass.reserving.1 += kept.hosts.len();
+        for host in &kept.hosts {
+            if let Some(i) = pass.slot(host)
+                && pass.slots[i].reserved.is_none()
+            {
+                pass.slots[i].reserved = Some(id.clone());
+            }
+        }
+    }
+
+    /// When the host is expected to have room for this, if ever.
+    fn free_at(&self, host: &Host, each: &Resources, now: Micros) -> Option<Micros> {
+        let mut room = host.room();
+        if each.fits(&room) {
+            return Some(now);
+        }
+        let mut at = now;
+        for o in self.occupied(host, now).into_iter().rev() {
+            if each.fits(&room) {
+                return Some(at);
+            }
+            if o.until == Micros::MAX {
+                return None;
+            }
+            at = o.until;
+            room += o.each;
+        }
+        each.fits(&room).then_some(at)
+    }
+}
--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -3,7 +3,7 @@
 
 use crate::config::{MachineSpec, SchedConfig};
 use jasperhill_wire::{
-    Attempt, HostId, JobId, Micros, Name, Resources, TaskId, Token,
+    Attempt, HostId, Micros, Name, Resources, TaskId, Token,
     record::{HostRecord, HostUse},
     worker::{Cause, Order, Report, TaskPhase},
 };
@@ -120,6 +120,11 @@
     pub tenure: Option<u64>,
     counter: u64,
     pub tasks: BTreeMap<TaskId, HostTask>,
+    /// What its tasks take together, and how many of them are on it or wait for an image:
+    /// running sums, so that a pass over many hosts need not look at every task.
+    used: Resources,
+    on: usize,
+    fetching: usize,
     /// Exited tasks of earlier attempts, still listed by the worker.
     stale: BTreeSet<(TaskId, Attempt)>,
     doubt: Doubt,
@@ -165,6 +170,9 @@
             tenure: None,
             counter: 0,
             tasks: BTreeMap::new(),
+            used: Resources::default(),
+            on: 0,
+            fetching: 0,
             stale: BTreeSet::new(),
             doubt: Doubt::None,
             doubted: BTreeSet::new(),
@@ -196,10 +204,7 @@
     }
     /// Nothing runs, may run or is booked there.
     pub fn is_empty(&self) -> bool {
-        self.tasks.values().all(|t| !t.is_on())
-            && self.doubt == Doubt::None
-            && self.flight.is_none()
-            && !self.has_ghosts()
+        self.on == 0 && self.doubt == Doubt::None && self.flight.is_none() && !self.has_ghosts()
     }
 
     /// May get new tasks.
@@ -214,14 +219,36 @@
     }
 
     pub fn used(&self) -> Resources {
-        self.tasks
-            .values()
-            .filter(|t| t.is_on())
-            .fold(Resources::default(), |sum, t| sum + t.each)
+        self.used
+    }
+    /// Tasks that hold resources, or may.
+    pub fn tasks_on(&self) -> usize {
+        self.on
     }
+
+    /// Brings the running sums up to the tasks.
+    fn recount(&mut self) {
+        (self.used, self.on, self.fetching) = (Resources::default(), 0, 0);
+        for t in self.tasks.values().filter(|t| t.is_on()) {
+            self.used += t.each;
+            self.on += 1;
+            let waits = matches!(t.state, TaskState::Ordered | TaskState::Fetching);
+            self.fetching += usize::from(waits && t.image.is_some());
+        }
+    }
+
+    /// Says what a task found here takes and needs.
+    pub(crate) fn describe(&mut self, task: &TaskId, each: Resources, image: (Name, f64)) {
+        if let Some(t) = self.tasks.get_mut(task) {
+            t.each = each;
+            t.image = Some(image);
+        }
+        self.recount();
+    }
+
     pub fn room(&self) -> Resources {
         let mut room = self.spec.capacity;
-        room -= self.used();
+        room -= self.used;
         room
     }
     pub fn has_image(&self, image: &Name) -> bool {
@@ -355,7 +382,8 @@
                 }
             }
         }
-        if self.idle_since.is_none() && self.tasks.values().all(|t| !t.is_on()) {
+        self.recount();
+        if self.idle_since.is_none() && self.on == 0 {
             self.idle_since = Some(now);
         }
         out
@@ -525,6 +553,9 @@
         if self.has_image(image) {
             return Micros::ZERO;
         }
+        if self.fetching == 0 {
+            return Micros::from_secs_f64(gb / self.spec.fetch_gb_per_s.max(1e-6));
+        }
         let mut coming: BTreeMap<&Name, (f64, Micros)> = BTreeMap::new();
         for t in self.tasks.values() {
             if let (TaskState::Ordered | TaskState::Fetching, Some((name, gb))) =
@@ -543,14 +574,4 @@
         let shared: f64 = coming.values().map(|e| rest(*e).min(mine)).sum();
         Micros::from_secs_f64(shared / self.spec.fetch_gb_per_s.max(1e-6))
     }
-
-    /// Tasks of a job that hold, or may hold, resources here.
-    pub fn tasks_of<'a>(
-        &'a self,
-        job: &'a JobId,
-    ) -> impl Iterator<Item = (&'a TaskId, &'a HostTask)> {
-        self.tasks
-            .iter()
-            .filter(move |(id, t)| &id.job == job && t.is_on())
-    }
 }
--- a/crates/jasperhill-sched/src/job.rs
+++ b/crates/jasperhill-sched/src/job.rs
@@ -3,7 +3,7 @@
 
 use crate::done::DoneSet;
 use jasperhill_wire::{
-    Attempt, HostId, Micros, Name, Resources, Revision,
+    Attempt, HostId, Micros, Resources, Revision,
     user::{JobRequest, Priority, Shape},
 };
 use std::{
@@ -29,6 +29,15 @@
     Done,
 }
 
+/// Hosts that a waiting gang keeps free, until the choice is made anew, and when they are
+/// expected to have room.
+#[derive(Clone, Debug)]
+pub struct KeptHosts {
+    pub hosts: Vec<HostId>,
+    pub until: Micros,
+    pub ready: Micros,
+}
+
 #[derive(Debug)]
 pub struct Job {
     pub request: Rc<JobRequest>,
@@ -52,8 +61,10 @@
     pub failed_on: BTreeSet<HostId>,
     pub not_before: Micros,
     pub failures: u32,
-    /// Room is being made there.
-    pub making_room: Option<(HostId, Micros)>,
+    /// Room is being made there, and is waited for until then.
+    pub making_room: Vec<(HostId, Micros)>,
+    /// Hosts kept free for this waiting gang.
+    pub kept: Option<KeptHosts>,
     /// The attempt of a gang under way.
     pub attempt: Option<Attempt>,
     pub preempted: u32,
@@ -85,7 +96,8 @@
             failed_on: BTreeSet::new(),
             not_before: Micros::ZERO,
             failures: 0,
-            making_room: None,
+            making_room: Vec::new(),
+            kept: None,
             attempt: None,
             preempted: 0,
             missed: false,
@@ -183,24 +195,6 @@
         (band, due, p, self.submitted)
     }
 
-    /// How many more tasks a zone may hold, given where the others are.
-    pub fn zone_room(&self, zone: &Name, zone_of: impl Fn(&HostId) -> Option<Name>) -> u32 {
-        let r = &self.request;
-        if !r.one_zone && !r.spread {
-            return r.tasks;
-        }
-        let mut here = 0;
-        for host in self.live.values() {
-            match zone_of(host) {
-                Some(z) if &z == zone => here += 1,
-                // One of them is elsewhere, or who knows where.
-                _ if r.one_zone => return 0,
-                _ => {}
-            }
-        }
-        r.zone_cap().saturating_sub(here)
-    }
-
     /// Resources of what could be running unseen.
     pub fn unseen(&self) -> Resources {
         self.request
--- a/crates/jasperhill-sched/src/lib.rs
+++ b/crates/jasperhill-sched/src/lib.rs
@@ -2,15 +2,22 @@
 //! preemption and the fleet plan. Pure: time is passed in, nothing here reads a clock or
 //! does I/O.
 
+pub mod book;
 pub mod config;
 pub mod done;
+pub mod drain;
 pub mod fleet;
 pub mod forward;
+pub mod gang;
 pub mod host;
 pub mod job;
 pub mod partition;
 pub mod pass;
+#[cfg(test)]
+mod plain;
+pub mod room;
 pub mod split;
+pub mod suit;
 
 pub use config::{MachineSpec, SchedConfig, TeamLimits, Tuning};
 pub use done::DoneSet;
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -234,12 +234,14 @@
                 let request = job.request.clone();
                 if let Some(host) = self.hosts.get_mut(id) {
                     host.touch_image(&request.image, request.image_gb);
-                    if let Some(t) = host.tasks.get_mut(task) {
-                        t.each = request.each;
-                        t.image = Some((request.image.clone(), request.image_gb));
-                        if t.state == TaskState::Running {
-                            job.running.insert(task.index);
-                        }
+                    let image = (request.image.clone(), request.image_gb);
+                    host.describe(task, request.each, image);
+                    if host
+                        .tasks
+                        .get(task)
+                        .is_some_and(|t| t.state == TaskState::Running)
+                    {
+                        job.running.insert(task.index);
                     }
                 }
             }
--- /dev/null
+++ b/crates/jasperhill-sched/src/plain.rs
@@ -0,0 +1,366 @@
+//! The decisions written plainly, every host judged for every task, to compare with what the
+//! indexed ones come to. Tests only.
+
+use crate::{
+    book::FOR_EVER,
+    config::{MachineSpec, SchedConfig, TeamLimits, Tuning, fetch_time},
+    forward::{Booking, Occupied, density, insert, misses},
+    host::Source,
+    job::{Job, TaskStep},
+    partition::{Partition, Verdict},
+    pass::Pass,
+    suit::cost,
+};
+use jasperhill_wire::{
+    HostId, JobId, Micros, Name, Resources, Revision, TaskId, Token,
+    record::{HostRecord, HostUse},
+    user::{JobRequest, Priority, Shape},
+    worker::{Report, TaskPhase, TaskReport},
+};
+use proptest::prelude::*;
+use std::{collections::BTreeMap, rc::Rc};
+
+const NOW: Micros = Micros::from_secs(10_000);
+
+/// What a generated partition is made of.
+#[derive(Clone, Debug)]
+struct Setting {
+    /// Per host: zone, spot, image held, tasks that run there, slowness in tenths.
+    hosts: Vec<(bool, bool, u8, u8, u8)>,
+    /// Bookings that are there already: host, seconds to the deadline, estimate.
+    booked: Vec<(usize, u64, u64)>,
+    request: JobRequest,
+    submitted_ago: u64,
+}
+
+fn request(
+    id: &str,
+    shape: Shape,
+    tasks: u32,
+    image: u8,
+    (gpus, spread, one_zone, spot): (u8, bool, bool, bool),
+    (estimate, deadline): (u64, Option<u64>),
+) -> JobRequest {
+    JobRequest {
+        id: JobId::new(id),
+        class: "c".into(),
+        team: "red".into(),
+        shape,
+        priority: Priority::Normal,
+        tasks,
+        each: Resources::from_units(1.0, f64::from(gpus), 4.0),
+        image: Name::from(format!("i{image}").as_str()),
+        image_gb: 1.0 + f64::from(image),
+        types: None,
+        zone: None,
+        one_zone,
+        spread,
+        spot,
+        estimate: Micros::from_secs(estimate),
+        checkpoint_every: Micros::ZERO,
+        save: Micros::ZERO,
+        deadline: deadline.map(Micros::from_secs),
+    }
+}
+
+fn setting(shape: Shape) -> impl Strategy<Value = Setting> {
+    let hosts = proptest::collection::vec(
+        (any::<bool>(), any::<bool>(), 0u8..3, 0u8..9, 5u8..30),
+        1..14,
+    );
+    let booked = proptest::collection::vec((0usize..14, 5u64..200, 5u64..60), 0..30);
+    let flags = (1u8..4, any::<bool>(), any::<bool>(), any::<bool>());
+    let times = (5u64..60, 10u64..200);
+    (hosts, booked, 1u32..40, 0u8..3, flags, times, 0u64..8).prop_map(
+        move |(hosts, booked, tasks, image, flags, (estimate, left), submitted_ago)| {
+            let deadline = (shape == Shape::Array).then_some(left);
+            let times = (estimate, deadline);
+            Setting {
+                hosts,
+                booked,
+                request: request("job-new", shape, tasks, image, flags, times),
+                submitted_ago,
+            }
+        },
+    )
+}
+
+fn build(s: &Setting) -> Partition {
+    let spec = Rc::new(MachineSpec {
+        kind: "box".into(),
+        capacity: Resources::from_units(16.0, 8.0, 64.0),
+        cache_gb: 10.0,
+        fetch_gb_per_s: 0.5,
+        boot: Micros::from_secs(20),
+        price: 4.0,
+        spot_price: 2.0,
+        zones: vec!["a".into(), "b".into()],
+    });
+    let config = Rc::new(SchedConfig {
+        partitions: 1,
+        teams: vec![TeamLimits {
+            name: "red".into(),
+            guaranteed: Resources::default(),
+            most: Resources::from_units(0.0, 90.0, 0.0),
+        }],
+        report: Micros::from_secs(3),
+        lease: Micros::from_secs(16),
+        gang_wait: Micros::from_secs(30),
+        gang_peer: Micros::from_secs(4),
+        start_within: BTreeMap::new(),
+        tuning: Tuning::default(),
+    });
+    let specs = Rc::new(BTreeMap::from([(Name::from("box"), spec)]));
+    let mut part = Partition::new(0, Revision(5), config, specs);
+    let flags = (1, false, false, true);
+    let filler = request("job-old", Shape::Array, 200, 0, flags, (30, None));
+    part.upsert_job(&Rc::new(filler), Revision(9), NOW, &[]);
+    let mut next = 0;
+    for (n, (zone, spot, image, tasks, slow)) in s.hosts.iter().enumerate() {
+        let id = HostId::new(&format!("n-{n:02}"));
+        let zone: Name = if *zone { "a" } else { "b" }.into();
+        let record = HostRecord {
+            usage: HostUse::Partition(0),
+            address: "10.1.0.1:9000".to_owned(),
+            kind: "box".into(),
+            zone: zone.clone(),
+            spot: *spot,
+            bump: 0,
+        };
+        part.upsert_host(&id, &record, Revision(4), false, NOW);
+        let mut listed = Vec::new();
+        for _ in 0..*tasks {
+            listed.push(TaskReport {
+                task: TaskId::new(&JobId::new("job-old"), next),
+                attempt: jasperhill_wire::Attempt(u64::from(next) + 1),
+                phase: TaskPhase::Running,
+            });
+            next += 1;
+        }
+        let report = Report {
+            host: id.clone(),
+            address: "10.1.0.1:9000".to_owned(),
+            kind: "box".into(),
+            zone,
+            spot: *spot,
+            tenure: 1,
+            counter: 1,
+            token: Token(5),
+            notice: None,
+            tasks: listed,
+        };
+        part.on_report(&report, Source::Hello, NOW);
+        if let Some(host) = part.hosts.get_mut(&id) {
+            host.touch_image(&Name::from(format!("i{image}").as_str()), 2.0);
+            host.slowness = f64::from(*slow) / 10.0;
+        }
+    }
+    for (i, (host, left, estimate)) in s.booked.iter().enumerate() {
+        let id = HostId::new(&format!("n-{:02}", host % s.hosts.len()));
+        let booking = Booking {
+            task: TaskId::new(&JobId::new("job-other"), i as u32),
+            each: Resources::from_units(1.0, 1.0, 4.0),
+            adjusted: NOW + Micros::from_secs(*left),
+            estimate: Micros::from_secs(*estimate),
+        };
+        if let Some(host) = part.hosts.get_mut(&id) {
+            insert(&mut host.queue, booking);
+        }
+    }
+    let submitted = NOW - Micros::from_secs(s.submitted_ago);
+    part.upsert_job(&Rc::new(s.request.clone()), Revision(9), submitted, &[]);
+    part
+}
+
+/// The forward run over all hosts for one task; among those with the fewest new misses the
+/// lowest density, the first of equals.
+fn choose(part: &Partition, pass: &Pass, task: &TaskId, due: Micros) -> Option<(HostId, Booking)> {
+    let job = part.jobs.get(&task.job)?;
+    let zones = part.zone_rooms(job);
+    let mut best: Option<(usize, f64, HostId, Booking)> = None;
+    for host in part.hosts.values() {
+        let fits = job.request.each.fits(&host.spec.capacity);
+        if !fits || !Partition::suits(job, host) || !zones.allows(&host.zone) {
+            continue;
+        }
+        let booking = part.booking(host, task, &job.request, due, pass.now);
+        let running = part.occupied(host, pass.now);
+        let mut queue = host.queue.clone();
+        let before = misses(pass.now, host.room(), &running, &queue);
+        insert(&mut queue, booking.clone());
+        let missed = misses(pass.now, host.room(), &running, &queue).saturating_sub(before);
+        let dense = density(pass.now, &queue);
+        let better = |(m, d): (usize, f64)| {
+            (missed, dense).partial_cmp(&(m, d)) == Some(std::cmp::Ordering::Less)
+        };
+        if best.as_ref().is_none_or(|(m, d, ..)| better((*m, *d))) {
+            best = Some((missed, dense, host.id.clone(), booking));
+        }
+    }
+    best.map(|(_, _, host, booking)| (host, booking))
+}
+
+fn book(part: &mut Partition, pass: &Pass, id: &JobId) {
+    let Some(job) = part.jobs.get(id) else { return };
+    let (request, missed) = (job.request.clone(), job.missed);
+    let Some(due) = job.due else { return };
+    let due = if missed { pass.now + FOR_EVER } else { due };
+    let mut taken = 0;
+    while part.limit_allows(pass, &request, taken + 1) {
+        let Some(i) = part.jobs.get_mut(id).and_then(Job::next_pending) else {
+            return;
+        };
+        let task = TaskId::new(id, i);
+        let Some((host, booking)) = choose(part, pass, &task, due) else {
+            return;
+        };
+        if let Some(host) = part.hosts.get_mut(&host) {
+            insert(&mut host.queue, booking);
+        }
+        part.set_step(&task, TaskStep::Booked(host));
+        taken += 1;
+    }
+}
+
+/// Task after task on the host of the lowest density that stays without a new miss.
+fn admit(
+    part: &Partition,
+    request: &JobRequest,
+    submitted: Micros,
+    elastic: (u32, Micros),
+) -> Verdict {
+    let due = submitted + request.deadline.unwrap_or_default();
+    let estimate = part.estimate(request);
+    if due - NOW <= estimate {
+        return Verdict::Refuse;
+    }
+    let team = &part.config.teams[0];
+    let used = part.team_use(&request.team, false);
+    let mut tested = 0;
+    while tested < request.tasks && team.allows(&(used + request.each.times(u64::from(tested) + 1)))
+    {
+        tested += 1;
+    }
+    type Copy = (Vec<Occupied>, Vec<Booking>, usize);
+    let mut copies: BTreeMap<HostId, Copy> = part
+        .hosts
+        .values()
+        .filter(|h| request.allows_host(&h.spec.kind, &h.zone, h.spot))
+        .map(|h| {
+            let running = part.occupied(h, NOW);
+            let before = misses(NOW, h.room(), &running, &h.queue);
+            (h.id.clone(), (running, h.queue.clone(), before))
+        })
+        .collect();
+    let spec = &part.specs[&Name::from("box")];
+    let ready = NOW + elastic.1 + fetch_time(request.image_gb, spec);
+    let mut rented = 0;
+    if ready + estimate <= due {
+        let waves = ((due - ready).0 / estimate.0.max(1)).clamp(1, 2);
+        rented = u64::from(elastic.0) * request.each.count_in(&spec.capacity) * waves;
+    }
+    let late: usize = copies.values().map(|c| c.2).sum();
+    rented = rented.saturating_sub(late as u64);
+    for i in 0..tested {
+        let mut best: Option<(f64, HostId, Vec<Booking>)> = None;
+        for (id, (running, queue, before)) in &copies {
+            let host = &part.hosts[id];
+            let task = TaskId::new(&request.id, i);
+            let mut queue = queue.clone();
+            insert(&mut queue, part.booking(host, &task, request, due, NOW));
+            if misses(NOW, host.room(), running, &queue) > *before {
+                continue;
+            }
+            let dense = density(NOW, &queue);
+            if best.as_ref().is_none_or(|(d, ..)| dense < *d) {
+                best = Some((dense, id.clone(), queue));
+            }
+        }
+        match best {
+            Some((_, id, queue)) => copies.get_mut(&id).unwrap().1 = queue,
+            None if rented > 0 => rented -= 1,
+            None => return Verdict::Refuse,
+        }
+    }
+    Verdict::Admit
+}
+
+/// Task after task on the cheapest host that has room and no queue.
+fn start_loose(part: &mut Partition, pass: &mut Pass, id: &JobId) {
+    loop {
+        let Some(job) = part.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(i) = job.next_pending() else { return };
+        let request = job.request.clone();
+        if !part.limit_allows(pass, &request, 1) {
+            return;
+        }
+        let job = &part.jobs[id];
+        let zones = part.zone_rooms(job);
+        let best = part
+            .with_slots(pass)
+            .filter(|(i, _, _)| pass.fits(*i, id, &request.each))
+            .filter(|(_, _, h)| h.queue.is_empty())
+            .filter(|(_, _, h)| Partition::suits(job, h) && zones.allows(&h.zone))
+            .min_by_key(|(i, slot, h)| (cost(h, &slot.room, &request, pass.now), *i))
+            .map(|(i, _, _)| i);
+        match best {
+            Some(slot) => part.start(pass, id, i, slot, None),
+            None => return,
+        }
+    }
+}
+
+type Placed = Vec<(HostId, Vec<TaskId>, Vec<Booking>)>;
+
+fn placed(part: &Partition) -> Placed {
+    let on = |h: &crate::Host| h.tasks.keys().cloned().collect();
+    part.hosts
+        .values()
+        .map(|h| (h.id.clone(), on(h), h.queue.clone()))
+        .collect()
+}
+
+fn few() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        failure_persistence: None,
+        cases: 400,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(few())]
+
+    #[test]
+    fn bookings_are_those_of_the_plain_forward_run(s in setting(Shape::Array)) {
+        let (mut indexed, mut plainly) = (build(&s), build(&s));
+        let pass = indexed.look(NOW);
+        indexed.book(&pass, &s.request.id);
+        book(&mut plainly, &pass, &s.request.id);
+        prop_assert_eq!(placed(&indexed), placed(&plainly));
+    }
+
+    #[test]
+    fn the_admission_test_says_what_task_after_task_says(
+        s in setting(Shape::Array), machines in 0u32..4
+    ) {
+        let part = build(&s);
+        let submitted = NOW - Micros::from_secs(s.submitted_ago);
+        let elastic = (machines, Micros::from_secs(20));
+        let plainly = admit(&part, &s.request, submitted, elastic);
+        prop_assert_eq!(part.admit(&s.request, submitted, NOW, elastic), plainly);
+    }
+
+    #[test]
+    fn starts_are_those_of_the_plain_choice(s in setting(Shape::Service)) {
+        let (mut indexed, mut plainly) = (build(&s), build(&s));
+        let mut pass = indexed.look(NOW);
+        indexed.start_loose(&mut pass, &s.request.id);
+        let mut pass = plainly.look(NOW);
+        start_loose(&mut plainly, &mut pass, &s.request.id);
+        prop_assert_eq!(placed(&indexed), placed(&plainly));
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-sched/src/room.rs
@@ -0,0 +1,274 @@
+//! Making room: lesser work is stopped for production tasks and urgent gangs.
+
+use crate::{
+    host::Host,
+    partition::{Note, Partition},
+    pass::{Pass, is_urgent},
+    suit::{ZoneRooms, start_delay},
+};
+use jasperhill_wire::{HostId, JobId, Micros, Name, Resources, TaskId, user::Priority};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long after the last victim must be gone room that was made is waited for.
+const ROOM_KEPT: Micros = Micros::from_secs(4);
+/// Room that comes by itself this soon is waited for.
+const SOON: Micros = Micros::from_secs(3);
+
+/// Work that could be stopped.
+struct Victim {
+    /// Work lost by stopping it.
+    lost: Micros,
+    task: TaskId,
+    each: Resources,
+    grace: Micros,
+}
+
+impl Partition {
+    /// What could be stopped on a host for work of this priority, the least loss first.
+    /// `whole`: also gangs of several tasks, which are stopped whole.
+    fn victims(&self, host: &Host, than: Priority, whole: bool, now: Micros) -> Vec<Victim> {
+        let mut victims: Vec<Victim> = host
+            .tasks
+            .iter()
+            // What is stopping already makes room for somebody else.
+            .filter(|(_, t)| t.is_on() && t.stopping.is_none())
+            .filter_map(|(task, t)| {
+                let other = self.jobs.get(&task.job)?;
+                let size = if other.is_gang() {
+                    other.request.tasks
+                } else {
+                    1
+                };
+                let lower = other.request.priority > than && !other.is_service();
+                (lower && (whole || size == 1)).then(|| {
+                    let (lost, grace) = if other.checkpoints() {
+                        (other.request.save, other.request.save)
+                    } else {
+                        (now - t.running.unwrap_or(now), Micros::ZERO)
+                    };
+                    Victim {
+                        lost: Micros(lost.0.saturating_mul(u64::from(size))),
+                        task: task.clone(),
+                        each: t.each,
+                        grace,
+                    }
+                })
+            })
+            .collect();
+        victims.sort_by_key(|v| v.lost);
+        victims
+    }
+
+    fn stop_victims(&mut self, host: &HostId, victims: &[TaskId], why: &'static str, now: Micros) {
+        for task in victims {
+            let Some(other) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            other.preempted += 1;
+            let grace = if other.checkpoints() {
+                other.request.save + Micros::from_secs(1)
+            } else {
+                Micros::ZERO
+            };
+            let whole = other.is_gang();
+            self.notes
+                .push(Note::Stopped(task.clone(), host.clone(), why));
+            if whole {
+                self.stop_all(&task.job, grace, now);
+            } else {
+                self.stop(host, task, grace, now);
+            }
+        }
+    }
+
+    /// Stops work of lower priority for a production task that finds no room. True if room is
+    /// now being made where the wait is shorter than `wait`.
+    pub(crate) fn make_room(
+        &mut self,
+        pass: &mut Pass,
+        id: &JobId,
+        i: u32,
+        zones: &ZoneRooms,
+        wait: Micros,
+    ) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let request = job.request.clone();
+        let patience = self.config.patience(&request.class);
+        let mut zones = zones.clone();
+        for (host, _) in &job.making_room {
+            if let Some(zone) = self.zone_of(host) {
+                zones.add(&zone);
+            }
+        }
+        let task = TaskId::new(id, i);
+        let mut best: Option<(_, usize, Vec<TaskId>, Micros)> = None;
+        for (at, slot, host) in self.with_slots(pass) {
+            if !slot.usable
+                || slot.reserved.as_ref().is_some_and(|j| j != id)
+                || !Self::suits(job, host)
+                || !zones.allows(&host.zone)
+                || host.tasks.contains_key(&task)
+            {
+                continue;
+            }
+            let delay = start_delay(host, &request, pass.now);
+            if wait != Micros::MAX && delay + patience >= wait {
+                continue;
+            }
+            let (mut free, mut chosen, mut loss) = (slot.room, Vec::new(), Micros::ZERO);
+            let mut grace = Micros::ZERO;
+            for victim in self.victims(host, request.priority, false, pass.now) {
+                if request.each.fits(&free) {
+                    break;
+                }
+                free += victim.each;
+                loss += victim.lost;
+                grace = grace.max(victim.grace);
+                chosen.push(victim.task);
+            }
+            let delay = delay + grace;
+            let sooner = wait == Micros::MAX || delay + patience < wait;
+            if request.each.fits(&free) && !chosen.is_empty() && sooner {
+                let key = (delay.0 / 1_000_000, loss.0);
+                if best.as_ref().is_none_or(|(k, ..): &(_, _, _, _)| key < *k) {
+                    best = Some((key, at, chosen, grace));
+                }
+            }
+        }
+        let Some((_, at, victims, grace)) = best else {
+            return false;
+        };
+        let host = pass.slots[at].id.clone();
+        self.stop_victims(&host, &victims, "room for production", pass.now);
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.making_room.push((host, pass.now + grace + ROOM_KEPT));
+        }
+        pass.take(at, &request.each);
+        true
+    }
+
+    /// Stops lesser work for an urgent gang that does not find room for all of its tasks.
+    /// The hosts are kept for it until it starts or the room has not come about in time.
+    pub(crate) fn make_gang_room(&mut self, pass: &mut Pass, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let request = job.request.clone();
+        if !is_urgent(&request) || request.tasks > 1 || !job.making_room.is_empty() {
+            return;
+        }
+        if job
+            .kept
+            .as_ref()
+            .is_some_and(|k| k.ready <= pass.now + SOON)
+        {
+            return;
+        }
+        /// A place for one more task: what it costs, where, and who must go for it.
+        struct Seat {
+            cost: u64,
+            at: usize,
+            victims: Vec<TaskId>,
+            grace: Micros,
+        }
+        let mut by_zone: BTreeMap<Name, Vec<Seat>> = BTreeMap::new();
+        for (at, slot, host) in self.with_slots(pass) {
+            if !slot.usable
+                || slot.reserved.as_ref().is_some_and(|j| j != id)
+                || !Self::suits(job, host)
+                || !request.each.fits(&host.spec.capacity)
+                || host.tasks.keys().any(|t| &t.job == id)
+            {
+                continue;
+            }
+            let delay = start_delay(host, &request, pass.now).0;
+            let zone = if request.one_zone {
+                host.zone.clone()
+            } else {
+                Name::from("")
+            };
+            let seats = by_zone.entry(zone).or_default();
+            let mut free = slot.room;
+            let mut found = 0;
+            while found < request.tasks && request.each.fits(&free) {
+                free -= request.each;
+                found += 1;
+                seats.push(Seat {
+                    cost: delay,
+                    at,
+                    victims: Vec::new(),
+                    grace: Micros::ZERO,
+                });
+            }
+            let (mut go, mut loss, mut grace) = (Vec::new(), 0, Micros::ZERO);
+            for victim in self.victims(host, request.priority, true, pass.now) {
+                if found >= request.tasks {
+                    break;
+                }
+                free += victim.each;
+                loss += victim.lost.0;
+                grace = grace.max(victim.grace);
+                go.push(victim.task);
+                if request.each.fits(&free) {
+                    free -= request.each;
+                    found += 1;
+                    seats.push(Seat {
+                        cost: delay + grace.0 + loss,
+                        at,
+                        victims: std::mem::take(&mut go),
+                        grace,
+                    });
+                }
+            }
+        }
+        let mut best: Option<(u64, Vec<Seat>)> = None;
+        for mut seats in by_zone.into_values() {
+            seats.sort_by_key(|s| (s.cost, s.at, s.victims.len()));
+            let mut zones = ZoneRooms::of(job, |_| None);
+            let (mut total, mut chosen) = (0, Vec::new());
+            for seat in seats {
+                let zone = self.zone_of(&pass.slots[seat.at].id).unwrap_or("".into());
+                if chosen.len() < request.tasks as usize && zones.allows(&zone) {
+                    zones.add(&zone);
+                    total += seat.cost;
+                    chosen.push(seat);
+                }
+            }
+            if chosen.len() == request.tasks as usize
+                && best.as_ref().is_none_or(|(c, _)| total < *c)
+            {
+                best = Some((total, chosen));
+            }
+        }
+        let Some((_, chosen)) = best else { return };
+        let grace = chosen.iter().map(|s| s.grace).max().unwrap_or_default();
+        let until = pass.now + grace + ROOM_KEPT;
+        let hosts: BTreeSet<usize> = chosen.iter().map(|s| s.at).collect();
+        for seat in &chosen {
+            let host = pass.slots[seat.at].id.clone();
+            self.stop_victims(&host, &seat.victims, "room for an urgent gang", pass.now);
+        }
+        let hosts: Vec<HostId> = hosts.iter().map(|at| pass.slots[*at].id.clone()).collect();
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.making_room = hosts.iter().map(|h| (h.clone(), until)).collect();
+            job.kept = Some(crate::job::KeptHosts {
+                hosts,
+                until,
+                ready: pass.now + grace,
+            });
+        }
+    }
+
+    /// Room that has not come about in time is not waited for any longer.
+    pub(crate) fn keep_made_room(&mut self, now: Micros) {
+        for job in self.jobs.values_mut() {
+            if job.making_room.is_empty() {
+                continue;
+            }
+            if job.pending() == 0 || job.ending.is_some() {
+                job.making_room.clear();
+            }
+            job.making_room.retain(|(_, until)| now <= *until);
+        }
+    }
+}
