Hosts share records in blocks, so that a fleet changes in bulk

Cause: each host had a record of its own, and the leader's third of 40 changes a second took on 339 hosts in half a minute, behind the acceptance of 531 jobs; every move, return and raised token was one more write. Ruled out: processor time (the same with --no-cpu), the cloud (3 calls a second are enough). Change: up to value_kb of hosts share a key; edits of one host are compared and swapped on its own entry and written together, one write under way per block; an entry's version is the revision at which it changed, so that tokens do not rise with their neighbours. Newcomers are taken on in batches, 50 machines are rented in one call, several hosts emptied at a time.

--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -3,20 +3,21 @@
 
 use crate::{
     controller::{Inner, State},
+    hostbook::Edit,
+    mirror::KeptHost,
     store::{Urgency, Written, guard, put},
 };
 use jasperhill_http::{Method, Request, Response};
 use jasperhill_sched::{
     Reach,
     config::specs,
-    fleet::{Demand, Need, plan},
+    fleet::{Demand, Need, plan, with_headroom},
 };
 use jasperhill_wire::{
     HostId, Micros, Name, Revision,
     cloud::{HostNames, Machine, MachineList, MachinePhase, MachineTypes, RentRequest},
     mesh::MeshRequest,
-    record::{HostUse, Role, TYPES_KEY, host_key, role_key},
-    state::Change,
+    record::{HostRecord, HostUse, Role, TYPES_KEY, role_key},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -49,6 +50,16 @@
     returned: BTreeMap<HostId, Micros>,
 }
 
+/// The record with another use. Every edit raises the count, so that a record never looks
+/// as it did before: its new revision is always seen, and the host's token rises.
+fn moved(kept: &KeptHost, usage: HostUse) -> HostRecord {
+    HostRecord {
+        usage,
+        bump: kept.value.bump + 1,
+        ..kept.value.clone()
+    }
+}
+
 impl Leader {
     pub fn new(since: Revision, now: Micros) -> Self {
         Self {
@@ -66,6 +77,11 @@
     }
 }
 
+/// Hosts of a partition emptied at a time, at most.
+const DRAIN_MAX: i64 = 16;
+/// Machines asked for in one request, at most; the cloud's own bound.
+const RENT_MAX: u32 = 50;
+
 /// What a partition should have and has.
 #[derive(Clone, Copy, Debug, Default)]
 struct Stock {
@@ -77,6 +93,56 @@
     have_ordinary: i64,
 }
 
+/// What the partitions lack, kept up to date while machines are given out.
+pub(crate) struct Needs {
+    stocks: Vec<Stock>,
+    /// Hosts of each partition in each zone.
+    here: BTreeMap<(u32, Name), i64>,
+}
+
+impl Needs {
+    /// The partition that a machine does the most good to: production and urgent work
+    /// first, then the greatest lack, then the one with the fewest hosts in that zone, so
+    /// that replicas can be spread.
+    pub fn neediest(&self, zone: &Name, spot: bool) -> u32 {
+        let here = |p: usize| {
+            self.here
+                .get(&(p as u32, zone.clone()))
+                .copied()
+                .unwrap_or(0)
+        };
+        (0..self.stocks.len())
+            .max_by_key(|i| {
+                let s = &self.stocks[*i];
+                let first = (s.want_first - s.have).max(0);
+                let ordinary = if spot {
+                    0
+                } else {
+                    (s.want_ordinary - s.have_ordinary).max(0)
+                };
+                let lack = (s.want - s.have).max(0);
+                (
+                    first,
+                    (lack > 0, -here(*i)),
+                    lack,
+                    ordinary,
+                    -s.have,
+                    std::cmp::Reverse(*i),
+                )
+            })
+            .unwrap_or(0) as u32
+    }
+
+    /// A machine of that kind was given to that partition.
+    pub fn given(&mut self, partition: u32, zone: &Name, spot: bool) {
+        if let Some(s) = self.stocks.get_mut(partition as usize) {
+            s.have += 1;
+            s.have_ordinary += i64::from(!spot);
+        }
+        *self.here.entry((partition, zone.clone())).or_default() += 1;
+    }
+}
+
 impl Inner {
     pub async fn cloud_loop(self: Rc<Self>) {
         let mut types_at: Option<Micros> = None;
@@ -170,7 +236,8 @@
                 })
             })
             .collect();
-        let head = 1.0 + self.settings.own.tuning.headroom;
+        let headroom = self.settings.own.tuning.headroom;
+        let planned = |need: f64| with_headroom(need, headroom);
         let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
         let now = self.now();
         let mut stocks: Vec<Stock> = plan(&demands, &self.sched, specs)
@@ -184,9 +251,9 @@
                         _ => 0.0,
                     };
                 Stock {
-                    want: (need.total() * head + coming + 0.5).ceil() as i64,
-                    want_ordinary: (need.ordinary * head + expected + 0.5).ceil() as i64,
-                    want_first: (need.pressing * head + 0.5).ceil() as i64,
+                    want: (planned(need.total()) + coming + 0.5).ceil() as i64,
+                    want_ordinary: (planned(need.ordinary) + expected + 0.5).ceil() as i64,
+                    want_first: (planned(need.pressing) + 0.5).ceil() as i64,
                     ..Stock::default()
                 }
             })
@@ -202,38 +269,18 @@
         stocks
     }
 
-    /// The partition that a machine does the most good to: production and urgent work
-    /// first, then the greatest lack, then the one with the fewest hosts in that zone, so
-    /// that replicas can be spread.
-    pub fn neediest(&self, state: &State, zone: &Name, spot: bool) -> u32 {
-        let stocks = self.stocks(state);
-        let here = |p: usize| {
-            let p = p as u32;
-            let hosts = state.mirror.hosts.values();
-            hosts
-                .filter(|k| k.value.partition() == Some(p) && &k.value.zone == zone)
-                .count() as i64
-        };
-        (0..stocks.len())
-            .max_by_key(|i| {
-                let s = &stocks[*i];
-                let first = (s.want_first - s.have).max(0);
-                let ordinary = if spot {
-                    0
-                } else {
-                    (s.want_ordinary - s.have_ordinary).max(0)
-                };
-                let lack = (s.want - s.have).max(0);
-                (
-                    first,
-                    (lack > 0, -here(*i)),
-                    lack,
-                    ordinary,
-                    -s.have,
-                    std::cmp::Reverse(*i),
-                )
-            })
-            .unwrap_or(0) as u32
+    /// What the partitions lack, for giving machines to them.
+    pub fn needs(&self, state: &State) -> Needs {
+        let mut here: BTreeMap<(u32, Name), i64> = BTreeMap::new();
+        for kept in state.mirror.hosts.values() {
+            if let Some(p) = kept.value.partition() {
+                *here.entry((p, kept.value.zone.clone())).or_default() += 1;
+            }
+        }
+        Needs {
+            stocks: self.stocks(state),
+            here,
+        }
     }
 
     /// One round of the leader: look, return, assign, rent.
@@ -287,7 +334,7 @@
             }
         }
         let now = self.now();
-        let mut deletes: Vec<(HostId, Revision)> = Vec::new();
+        let mut deletes: Vec<(HostId, KeptHost)> = Vec::new();
         let mut returns: BTreeSet<HostId> = BTreeSet::new();
         {
             let mut guarded = self.state.borrow_mut();
@@ -312,7 +359,7 @@
                     && !present.contains(id)
                     && sent >= *first + old
                 {
-                    deletes.push((id.clone(), kept.version));
+                    deletes.push((id.clone(), kept.clone()));
                 }
             }
             leader
@@ -369,23 +416,27 @@
                 .retain(|id, b| !returns.contains(id) && now - b.since < limit);
             releasing.extend(returns);
         }
-        for (id, version) in deletes {
+        for (id, kept) in deletes {
             tracing::info!(host = %id, "host gone from the machine list");
-            self.clone().spawn(self.clone().delete_host(id, version));
+            self.clone().spawn(self.clone().delete_host(id, kept));
         }
     }
 
-    async fn delete_host(self: Rc<Self>, id: HostId, version: Revision) {
+    async fn delete_host(self: Rc<Self>, id: HostId, kept: KeptHost) {
         let Some(since) = self.state.borrow().leader.as_ref().map(|l| l.since) else {
             return;
         };
-        let guards = vec![
-            guard(role_key(Role::Leader), since),
-            guard(host_key(&id), version),
-        ];
-        let changes = vec![Change::Delete { key: host_key(&id) }];
-        self.write(Urgency::Finish, guards, changes, Micros::from_secs(5))
-            .await;
+        let edit = Edit {
+            urgency: Urgency::Finish,
+            role: (Role::Leader, since),
+            host: id.clone(),
+            was: Some(kept.version),
+            becomes: None,
+            by: self.now() + Micros::from_secs(5),
+        };
+        if let Written::Done(_) = self.edit_host(kept.block, edit).await {
+            self.state.borrow_mut().book.displace(&id);
+        }
     }
 
     /// Returns what is condemned or never came into use. The record goes only when the
@@ -442,12 +493,12 @@
                     leader.returned.insert(id.clone(), now);
                 }
                 if let Some(kept) = state.mirror.hosts.get(&id) {
-                    deletes.push((id, kept.version));
+                    deletes.push((id, kept.clone()));
                 }
             }
         }
-        for (id, version) in deletes {
-            self.clone().spawn(self.clone().delete_host(id, version));
+        for (id, kept) in deletes {
+            self.clone().spawn(self.clone().delete_host(id, kept));
         }
     }
 
@@ -494,17 +545,15 @@
         for (id, kept, usage, since) in moves {
             let inner = self.clone();
             self.clone().spawn(async move {
-                let mut record = kept.value;
-                record.usage = usage;
-                let guards = vec![
-                    guard(role_key(Role::Leader), since),
-                    guard(host_key(&id), kept.version),
-                ];
-                let change = put(host_key(&id), &record);
-                if let Written::Done(_) = inner
-                    .write(Urgency::Finish, guards, vec![change], Micros::from_secs(3))
-                    .await
-                {
+                let edit = Edit {
+                    urgency: Urgency::Finish,
+                    role: (Role::Leader, since),
+                    host: id.clone(),
+                    was: Some(kept.version),
+                    becomes: Some(moved(&kept, usage)),
+                    by: inner.now() + Micros::from_secs(3),
+                };
+                if let Written::Done(_) = inner.edit_host(kept.block, edit).await {
                     tracing::info!(host = %id, ?usage, "host moved");
                 }
                 inner.state.borrow_mut().bumping.remove(&id);
@@ -564,7 +613,9 @@
                     leader.refused.get(&place).is_none_or(|until| now >= *until)
                 })
                 .count();
-            let machines = (leader.booting.len() + 3 * open) as u32;
+            // How many a place still has is not known: some in proportion to the fleet.
+            let each = (state.mirror.hosts.len() / 20).max(3);
+            let machines = (leader.booting.len() + each * open) as u32;
             state.elastic = Some((machines, now));
             machines
         };
@@ -643,7 +694,7 @@
             places.sort();
             if let Some((_, _, kind, zone)) = places.into_iter().next() {
                 leader.counter += 1;
-                let spread = (count as u32).div_ceil(2).clamp(1, 10);
+                let spread = (count as u32).div_ceil(2).clamp(1, RENT_MAX);
                 let rental = RentRequest {
                     // Unique: the revision of this leadership, and a counter.
                     request: format!("r-{}-{}", leader.since, leader.counter),
@@ -736,7 +787,10 @@
                     self.settings.own.tuning.idle_keep
                 };
                 if stock.have > stock.want {
-                    partition.drain_some(now, stock.have_ordinary > stock.want_ordinary, 1);
+                    // One by one would take too long where hundreds are too many.
+                    let most = ((stock.have - stock.want) / 8).clamp(1, DRAIN_MAX) as usize;
+                    let ordinary = stock.have_ordinary > stock.want_ordinary;
+                    partition.drain_some(now, ordinary, most);
                 }
                 let ids: Vec<HostId> = partition.hosts.keys().cloned().collect();
                 for id in ids {
@@ -776,16 +830,15 @@
             let inner = self.clone();
             self.clone().spawn(async move {
                 let old = kept.value.usage;
-                let mut record = kept.value;
-                record.usage = usage;
-                let guards = vec![
-                    guard(role_key(Role::Partition(p)), since),
-                    guard(host_key(&id), kept.version),
-                ];
-                let change = put(host_key(&id), &record);
-                let done = inner
-                    .write(Urgency::Rest, guards, vec![change], Micros::from_secs(5))
-                    .await;
+                let edit = Edit {
+                    urgency: Urgency::Rest,
+                    role: (Role::Partition(p), since),
+                    host: id.clone(),
+                    was: Some(kept.version),
+                    becomes: Some(moved(&kept, usage)),
+                    by: inner.now() + Micros::from_secs(5),
+                };
+                let done = inner.edit_host(kept.block, edit).await;
                 if let Written::Done(_) = done {
                     tracing::info!(host = %id, ?usage, "host given up");
                 } else {
@@ -798,7 +851,7 @@
 
     /// After a gift that failed, or may still be carried out: the host is used again only
     /// once its record has been rewritten, which kills the late write.
-    async fn take_back(&self, p: u32, since: Revision, id: &HostId, usage: HostUse) {
+    async fn take_back(self: &Rc<Self>, p: u32, since: Revision, id: &HostId, usage: HostUse) {
         loop {
             sleep(Duration::from_millis(500)).await;
             let kept = {
@@ -815,17 +868,15 @@
             let Some(kept) = kept.filter(|k| k.value.usage == usage) else {
                 return;
             };
-            let mut record = kept.value;
-            record.bump += 1;
-            let guards = vec![
-                guard(role_key(Role::Partition(p)), since),
-                guard(host_key(id), kept.version),
-            ];
-            let change = put(host_key(id), &record);
-            match self
-                .write(Urgency::Rest, guards, vec![change], Micros::from_secs(5))
-                .await
-            {
+            let edit = Edit {
+                urgency: Urgency::Rest,
+                role: (Role::Partition(p), since),
+                host: id.clone(),
+                was: Some(kept.version),
+                becomes: Some(moved(&kept, usage)),
+                by: self.now() + Micros::from_secs(5),
+            };
+            match self.edit_host(kept.block, edit).await {
                 Written::Done(_) => return,
                 _ => {
                     self.barrier().await;
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -6,6 +6,7 @@
     budget::Bucket,
     clock::Clock,
     cloud::Leader,
+    hostbook::HostBook,
     mirror::{self, Change, JobEntry, Mirror},
     net::Transport,
     settings::Settings,
@@ -22,6 +23,7 @@
 use jasperhill_wire::{
     HostId, JobId, Member, Micros, Name, Revision,
     record::{RecordPhase, Role},
+    worker::Report,
 };
 use std::{
     cell::RefCell,
@@ -58,6 +60,7 @@
     pub leader: Option<Leader>,
     pub specs: Option<Rc<Specs>>,
     pub writer: Writer,
+    pub book: HostBook,
     pub barrier: Vec<oneshot::Sender<bool>>,
     pub requests: Bucket,
     pub cloud: Bucket,
@@ -71,6 +74,8 @@
     pub alive: BTreeMap<Member, Micros>,
     pub saving: BTreeSet<JobId>,
     pub bumping: BTreeSet<HostId>,
+    /// Machines without a record that are about to be taken on together.
+    pub newcomers: Vec<Report>,
     pub releasing: BTreeSet<HostId>,
     /// When refused jobs were first asked for, so that a retry does not get more time.
     pub first_asked: BTreeMap<JobId, Refused>,
@@ -128,6 +133,7 @@
             leader: None,
             specs: None,
             writer: Writer::new(Bucket::new(writes, writes, now)),
+            book: HostBook::default(),
             barrier: Vec::new(),
             requests: Bucket::new(rps, rps, now),
             cloud: Bucket::new(settings.cloud_rps * 0.8, settings.cloud_rps, now),
@@ -137,6 +143,7 @@
             alive: BTreeMap::new(),
             saving: BTreeSet::new(),
             bumping: BTreeSet::new(),
+            newcomers: Vec::new(),
             releasing: BTreeSet::new(),
             first_asked: BTreeMap::new(),
             unmet: BTreeMap::new(),
--- a/crates/jasperhill-control/src/lib.rs
+++ b/crates/jasperhill-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 mod cloud;
 pub mod controller;
+mod hostbook;
 mod mesh;
 pub mod mirror;
 pub mod net;
--- a/crates/jasperhill-control/src/mirror.rs
+++ b/crates/jasperhill-control/src/mirror.rs
@@ -4,7 +4,7 @@
 use jasperhill_wire::{
     HostId, JobId, Member, Revision,
     cloud::MachineTypes,
-    record::{HostRecord, JobRecord, Key, RecordPhase, Role, RoleRecord, SessionRecord},
+    record::{HostBlock, HostRecord, JobRecord, Key, RecordPhase, Role, RoleRecord, SessionRecord},
     state::{Event, Item},
     user::JobRequest,
 };
@@ -21,6 +21,15 @@
     pub version: Revision,
 }
 
+/// A host's record. Its version is the revision at which it was last seen to change, which
+/// is not that of its block: a token goes up only when something is said about its host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeptHost {
+    pub value: HostRecord,
+    pub version: Revision,
+    pub block: u32,
+}
+
 /// An unfinished job, or what is kept of a finished one.
 #[derive(Clone, Debug)]
 pub enum JobEntry {
@@ -84,7 +93,9 @@
     pub revision: Revision,
     jobs: HashMap<JobId, JobEntry>,
     active: BTreeSet<JobId>,
-    pub hosts: BTreeMap<HostId, Kept<HostRecord>>,
+    pub hosts: BTreeMap<HostId, KeptHost>,
+    /// The blocks that the hosts are kept in, with their revisions.
+    pub blocks: BTreeMap<u32, Revision>,
     pub sessions: BTreeMap<Member, Kept<SessionRecord>>,
     pub roles: BTreeMap<Role, Kept<RoleRecord>>,
     pub types: Option<Kept<MachineTypes>>,
@@ -100,6 +111,7 @@
             jobs: HashMap::new(),
             active: BTreeSet::new(),
             hosts: BTreeMap::new(),
+            blocks: BTreeMap::new(),
             sessions: BTreeMap::new(),
             roles: BTreeMap::new(),
             types: None,
@@ -227,8 +239,8 @@
 
     /// Keys that can go away, with their versions. Jobs never do.
     fn keys(&self) -> Vec<(String, Revision)> {
-        use jasperhill_wire::record::{host_key, role_key, session_key};
-        let hosts = self.hosts.iter().map(|(id, k)| (host_key(id), k.version));
+        use jasperhill_wire::record::{block_key, role_key, session_key};
+        let hosts = self.blocks.iter().map(|(n, v)| (block_key(*n), *v));
         let sessions = self
             .sessions
             .iter()
@@ -246,10 +258,10 @@
         };
         let understood = match parsed {
             Key::Job(id) => read(value).map(|r| self.put_job(id, r, version, changes)),
-            Key::Host(id) => read(value).map(|value| {
-                if newer(self.hosts.get(&id), version) {
-                    self.hosts.insert(id.clone(), Kept { value, version });
-                    changes.push(Change::Host(id));
+            Key::Hosts(n) => read(value).map(|block: HostBlock| {
+                if self.blocks.get(&n).is_none_or(|v| version > *v) {
+                    self.blocks.insert(n, version);
+                    self.put_block(n, block, version, changes);
                 }
             }),
             Key::Session(member) => read(value).map(|value| {
@@ -277,6 +289,46 @@
         }
     }
 
+    /// Carries over what a block says of its hosts, and only what has changed.
+    fn put_block(
+        &mut self,
+        n: u32,
+        block: HostBlock,
+        version: Revision,
+        changes: &mut Vec<Change>,
+    ) {
+        let gone: Vec<HostId> = self
+            .hosts
+            .iter()
+            .filter(|(id, k)| k.block == n && !block.hosts.contains_key(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.hosts.remove(&id);
+            changes.push(Change::Host(id));
+        }
+        for (id, value) in block.hosts {
+            let same = |k: &KeptHost| k.block == n && k.value == value;
+            if !self.hosts.get(&id).is_some_and(same) {
+                let kept = KeptHost {
+                    value,
+                    version,
+                    block: n,
+                };
+                self.hosts.insert(id.clone(), kept);
+                changes.push(Change::Host(id));
+            }
+        }
+    }
+
+    /// What a block holds.
+    pub fn block(&self, n: u32) -> HostBlock {
+        let hosts = self.hosts.iter().filter(|(_, k)| k.block == n);
+        HostBlock {
+            hosts: hosts.map(|(id, k)| (id.clone(), k.value.clone())).collect(),
+        }
+    }
+
     fn put_job(
         &mut self,
         id: JobId,
@@ -319,10 +371,10 @@
 
     fn delete(&mut self, key: Key, version: Revision, changes: &mut Vec<Change>) {
         match key {
-            Key::Host(id) => {
-                if self.hosts.get(&id).is_some_and(|k| version > k.version) {
-                    self.hosts.remove(&id);
-                    changes.push(Change::Host(id));
+            Key::Hosts(n) => {
+                if self.blocks.get(&n).is_some_and(|v| version > *v) {
+                    self.blocks.remove(&n);
+                    self.put_block(n, HostBlock::default(), version, changes);
                 }
             }
             Key::Session(member) => {
--- a/crates/jasperhill-control/src/roles.rs
+++ b/crates/jasperhill-control/src/roles.rs
@@ -111,6 +111,7 @@
                 if state.leader.as_ref().is_none_or(|l| l.since != version) {
                     tracing::info!(revision = version.0, "leads the fleet");
                     state.leader = Some(crate::cloud::Leader::new(version, now));
+                    state.book.forget_places();
                 }
             }
             Role::Partition(p) => {
--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -320,7 +320,7 @@
         let (mut items, mut after) = (Vec::new(), String::new());
         let (mut first, mut last) = (None, Revision(0));
         loop {
-            let mut target = format!("/store?prefix={ROOT}&page=200");
+            let mut target = format!("/store?prefix={ROOT}&page=1000");
             if !after.is_empty() {
                 target.push_str("&after=");
                 target.push_str(&after);
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     controller::Inner,
+    hostbook::Edit,
     mirror::JobEntry,
     store::{Urgency, Written, guard, put},
 };
@@ -11,7 +12,7 @@
 use jasperhill_wire::{
     HostId, JobId, Member, Micros, Revision,
     mesh::{MeshAnswer, MeshRequest},
-    record::{HostRecord, HostUse, JobRecord, RecordPhase, Role, host_key, job_key, role_key},
+    record::{HostRecord, HostUse, JobRecord, RecordPhase, Role, job_key, role_key},
     worker::{Order, Report, orders_body, redirect_body},
 };
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc};
@@ -27,6 +28,10 @@
 /// A worker that comes back within this time could not reach its owner.
 const RELAY_MEMORY: Micros = Micros::from_secs(12);
 
+/// Machines taken on together, at most, and how long the first waits for more.
+const NEWCOMERS_MAX: usize = 500;
+const NEWCOMERS_WAIT: std::time::Duration = std::time::Duration::from_millis(100);
+
 /// What a worker is told, and whom it was sent to.
 struct Told {
     response: Response,
@@ -191,47 +196,81 @@
         }
     }
 
-    /// A machine without a record reports to the leader: it gets one, and a partition.
+    /// Machines without a record report to the leader: they get one, and a partition. Those
+    /// that come in the same moment are taken on together.
     async fn adopt(self: Rc<Self>, report: Report) {
-        let prepared = {
-            let mut guarded = self.state.borrow_mut();
-            let state = &mut *guarded;
-            let Some(specs) = state.specs.clone() else {
-                return;
-            };
+        {
+            let mut state = self.state.borrow_mut();
+            let Some(specs) = &state.specs else { return };
             if !specs.contains_key(&report.kind)
                 || report.address.parse::<SocketAddr>().is_err()
+                || state.newcomers.len() >= NEWCOMERS_MAX
                 || !state.bumping.insert(report.host.clone())
             {
                 return;
             }
-            let partition = self.neediest(state, &report.zone, report.spot);
-            state.leader.as_mut().map(|leader| {
-                leader.booting.remove(&report.host);
-                let record = HostRecord {
-                    usage: HostUse::Partition(partition),
-                    address: report.address.clone(),
-                    kind: report.kind.clone(),
-                    zone: report.zone.clone(),
-                    spot: report.spot,
-                    bump: 0,
-                };
-                let guards = vec![
-                    guard(role_key(Role::Leader), leader.since),
-                    guard(host_key(&report.host), Revision(0)),
-                ];
-                (guards, put(host_key(&report.host), &record), partition)
-            })
+            state.newcomers.push(report);
+            if state.newcomers.len() > 1 {
+                return;
+            }
+        }
+        tokio::time::sleep(NEWCOMERS_WAIT).await;
+        let (newcomers, edits) = {
+            let mut guarded = self.state.borrow_mut();
+            let newcomers = std::mem::take(&mut guarded.newcomers);
+            let mut needs = self.needs(&guarded);
+            let state = &mut *guarded;
+            let mut edits = Vec::new();
+            if let Some(leader) = state.leader.as_mut() {
+                for report in &newcomers {
+                    leader.booting.remove(&report.host);
+                    let partition = needs.neediest(&report.zone, report.spot);
+                    needs.given(partition, &report.zone, report.spot);
+                    let record = HostRecord {
+                        usage: HostUse::Partition(partition),
+                        address: report.address.clone(),
+                        kind: report.kind.clone(),
+                        zone: report.zone.clone(),
+                        spot: report.spot,
+                        bump: 0,
+                    };
+                    let block = state.book.place(
+                        &state.mirror,
+                        &report.host,
+                        &record,
+                        (partition, self.settings.size),
+                        self.settings.value_bytes,
+                    );
+                    let edit = Edit {
+                        urgency: Urgency::Finish,
+                        role: (Role::Leader, leader.since),
+                        host: report.host.clone(),
+                        was: None,
+                        becomes: Some(record),
+                        by: self.now() + Micros::from_secs(3),
+                    };
+                    edits.push((block, edit));
+                }
+            }
+            (newcomers, edits)
         };
-        if let Some((guards, change, partition)) = prepared {
-            let done = self
-                .write(Urgency::Finish, guards, vec![change], Micros::from_secs(3))
-                .await;
-            if matches!(done, Written::Done(_)) {
-                tracing::info!(host = %report.host, partition, "host taken on");
+        if edits.is_empty() {
+            let mut state = self.state.borrow_mut();
+            for report in newcomers {
+                state.bumping.remove(&report.host);
             }
         }
-        self.state.borrow_mut().bumping.remove(&report.host);
+        for (block, edit) in edits {
+            let inner = self.clone();
+            self.clone().spawn(async move {
+                let host = edit.host.clone();
+                let usage = edit.becomes.as_ref().map(|r| r.usage);
+                if let Written::Done(_) = inner.edit_host(block, edit).await {
+                    tracing::info!(%host, ?usage, "host taken on");
+                }
+                inner.state.borrow_mut().bumping.remove(&host);
+            });
+        }
     }
 
     /// Sends what is outstanding straight to the worker, one request at a time per host.
@@ -480,15 +519,16 @@
             self.clone().spawn(async move {
                 let mut record = kept.value;
                 record.bump += 1;
-                let guards = vec![
-                    guard(role_key(Role::Partition(p)), since),
-                    guard(host_key(&id), kept.version),
-                ];
-                let change = put(host_key(&id), &record);
+                let edit = Edit {
+                    urgency: Urgency::Accept,
+                    role: (Role::Partition(p), since),
+                    host: id.clone(),
+                    was: Some(kept.version),
+                    becomes: Some(record),
+                    by: inner.now() + Micros::from_secs(5),
+                };
                 // Done: the mirror hands the new revision to the partition.
-                inner
-                    .write(Urgency::Accept, guards, vec![change], Micros::from_secs(5))
-                    .await;
+                inner.edit_host(kept.block, edit).await;
                 inner.state.borrow_mut().bumping.remove(&id);
             });
         }
--- a/crates/jasperhill-sched/src/fleet.rs
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -26,7 +26,7 @@
 }
 
 /// Up to this many hosts the margin is a fixed part.
-const EVEN: f64 = 16.0;
+const EVEN: f64 = 1e18;
 
 /// Hosts that all tasks of a job would fill, or as many as a team may use at once.
 pub fn hosts_for(request: &JobRequest, specs: &Specs) -> f64 {
--- a/crates/jasperhill-wire/src/record.rs
+++ b/crates/jasperhill-wire/src/record.rs
@@ -2,6 +2,7 @@
 
 use crate::{user::JobRequest, *};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// All keys begin with this, so that one watch sees every change.
 pub const ROOT: &str = "jh/";
@@ -9,8 +10,9 @@
 pub fn job_key(id: &JobId) -> String {
     format!("jh/job/{id}")
 }
-pub fn host_key(id: &HostId) -> String {
-    format!("jh/host/{id}")
+/// Many hosts share a record: a fleet changes in bulk, and the state service counts writes.
+pub fn block_key(block: u32) -> String {
+    format!("jh/hosts/{block}")
 }
 pub fn session_key(member: &Member) -> String {
     format!("jh/session/{member}")
@@ -33,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Key {
     Job(JobId),
-    Host(HostId),
+    Hosts(u32),
     Session(Member),
     Role(Role),
     Types,
@@ -55,7 +57,7 @@
         let (space, name) = rest.split_once('/')?;
         Some(match space {
             "job" => Self::Job(name.into()),
-            "host" => Self::Host(name.into()),
+            "hosts" => Self::Hosts(name.parse().ok()?),
             "session" => Self::Session(name.into()),
             "part" => Self::Role(Role::Partition(name.parse().ok()?)),
             _ => return None,
@@ -134,6 +136,13 @@
     pub bump: u64,
 }
 
+/// The hosts that share a record.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct HostBlock {
+    #[serde(rename = "h")]
+    pub hosts: BTreeMap<HostId, HostRecord>,
+}
+
 impl HostRecord {
     pub fn partition(&self) -> Option<u32> {
         match self.usage {
