Watches and read barriers are paced; a refused barrier is tried again

Ruled out: the writes themselves (13 a second of 40). Change: watches may use 0.3 and barriers 0.35 of a controller's share of requests; those who wait for a barrier that was refused wait for the next one.

--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -58,6 +58,10 @@
 /// More waiting writes than this are refused at once.
 const QUEUE_MAX: usize = 2_000;
 const TXN_BYTES: usize = 60 * 1024;
+/// The parts of this controller's share of requests that watches and read barriers may use;
+/// the rest is for writes and leases.
+const WATCH_SHARE: f64 = 0.3;
+const BARRIER_SHARE: f64 = 0.35;
 
 impl Writer {
     pub fn new(bucket: Bucket) -> Self {
@@ -305,6 +309,7 @@
                 let state = self.state.borrow();
                 (state.mirror.phase, state.mirror.revision)
             };
+            let began = self.now();
             let fine = if phase == Phase::Empty {
                 self.list_all().await
             } else {
@@ -312,10 +317,21 @@
             };
             if !fine {
                 sleep(Duration::from_millis(200)).await;
+            } else {
+                // With many changes a watch answers at once, and each one counts: unpaced
+                // watches of three controllers alone would use up the service's limit.
+                let pause = self.pace(WATCH_SHARE) - (self.now() - began);
+                sleep(std_time(pause)).await;
             }
         }
     }
 
+    /// How far apart requests are that may use this part of this controller's share.
+    fn pace(&self, part: f64) -> Micros {
+        let mine = self.settings.state_rps / f64::from(self.settings.size);
+        Micros::from_secs_f64(1.0 / (mine * part).max(0.1))
+    }
+
     async fn list_all(&self) -> bool {
         let (mut items, mut after) = (Vec::new(), String::new());
         let (mut first, mut last) = (None, Revision(0));
@@ -421,20 +437,34 @@
         loop {
             self.wake_barrier.notified().await;
             loop {
-                let (waiters, after) = {
+                let (mut waiters, after) = {
                     let mut state = self.state.borrow_mut();
                     (std::mem::take(&mut state.barrier), state.mirror.revision)
                 };
+                // Those who have given up need no answer.
+                waiters.retain(|w| !w.is_closed());
                 if waiters.is_empty() {
                     break;
                 }
+                let began = self.now();
                 let fine =
                     self.watch(after, Micros::ZERO).await && self.state.borrow().mirror.is_synced();
-                for waiter in waiters {
-                    let _ = waiter.send(fine);
+                if fine {
+                    for waiter in waiters {
+                        let _ = waiter.send(true);
+                    }
+                } else {
+                    // Refused or unanswered: they wait for the next one while they can. A
+                    // later barrier shows no less.
+                    self.state.borrow_mut().barrier.extend(waiters);
                 }
                 // Those who come meanwhile share the next one.
-                sleep(Duration::from_millis(if fine { 25 } else { 100 })).await;
+                let pause = if fine {
+                    self.pace(BARRIER_SHARE) - (self.now() - began)
+                } else {
+                    Micros::from_millis(100)
+                };
+                sleep(std_time(pause)).await;
             }
         }
     }
