Partial results are paced and leave room for urgent writes

Change: partial results are written the seldomer the more jobs have them, within 0.3 of the limit; writes of the last urgency leave half a burst untouched; a job that becomes whole is written at once.

--- a/crates/jasperhill-control/src/budget.rs
+++ b/crates/jasperhill-control/src/budget.rs
@@ -40,6 +40,18 @@
         self.fill(now);
         self.level = (self.level - n).max(-self.burst);
     }
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+    /// How long until the level is at least `n`, if it is not.
+    pub fn until(&mut self, n: f64, now: Micros) -> Option<Micros> {
+        self.fill(now);
+        let lack = n.min(self.burst) - self.level;
+        (lack > 0.0).then(|| Micros::from_secs_f64(lack / self.rate) + Micros::from_millis(1))
+    }
     pub fn level(&mut self, now: Micros) -> f64 {
         self.fill(now);
         self.level
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -73,6 +73,8 @@
     /// Since when a member has had a session.
     pub alive: BTreeMap<Member, Micros>,
     pub saving: BTreeSet<JobId>,
+    /// When the partial results of unfinished jobs are to be written.
+    pub partial_due: BTreeMap<JobId, Micros>,
     pub bumping: BTreeSet<HostId>,
     /// Machines without a record that are about to be taken on together.
     pub newcomers: Vec<Report>,
@@ -142,6 +144,7 @@
             orphaned: BTreeMap::new(),
             alive: BTreeMap::new(),
             saving: BTreeSet::new(),
+            partial_due: BTreeMap::new(),
             bumping: BTreeSet::new(),
             newcomers: Vec::new(),
             releasing: BTreeSet::new(),
--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -58,6 +58,11 @@
 /// More waiting writes than this are refused at once.
 const QUEUE_MAX: usize = 2_000;
 const TXN_BYTES: usize = 60 * 1024;
+/// The part of a burst that writes of the last urgency leave untouched: an acceptance that
+/// comes behind a batch of partial results would wait for the limit to recover.
+const REST_RESERVE: f64 = 0.5;
+/// How soon a waiting writer looks for more urgent writes.
+const REST_LOOK: Micros = Micros::from_millis(40);
 /// The parts of this controller's share of requests that watches and read barriers may use;
 /// the rest is for writes and leases.
 const WATCH_SHARE: f64 = 0.3;
@@ -70,6 +75,10 @@
             bucket,
         }
     }
+    /// Changes a second.
+    pub fn rate(&self) -> f64 {
+        self.bucket.rate()
+    }
 }
 
 pub(crate) fn guard(key: impl Into<String>, version: Revision) -> Guard {
@@ -130,12 +139,18 @@
         for op in late {
             let _ = op.reply.send(Written::NotDone);
         }
-        let afford = state.writer.bucket.level(now).max(1.0) as usize;
+        let level = state.writer.bucket.level(now);
+        let afford = level.max(1.0) as usize;
+        let afford_rest = (level - state.writer.bucket.burst() * REST_RESERVE).max(0.0) as usize;
         let (mut batch, mut rest): (Vec<Op>, Vec<Op>) = (Vec::new(), Vec::new());
         let (mut puts, mut conds, mut bytes) = (0, 0, 0);
         let mut keys: BTreeSet<String> = BTreeSet::new();
         let mut guarded: BTreeSet<String> = BTreeSet::new();
         for op in queue {
+            if op.urgency == Urgency::Rest && puts + op.changes.len() > afford_rest {
+                rest.push(op);
+                continue;
+            }
             let fits = batch.is_empty()
                 || (!batch[0].alone
                     && !op.alone
@@ -179,9 +194,13 @@
                 let State {
                     requests, writer, ..
                 } = &mut *state;
-                let ready = writer.bucket.level(now) >= 1.0;
-                if !ready {
-                    writer.bucket.take(1.0, now).err()
+                // What can wait leaves some of the limit to what comes next and can't.
+                let reserve = match writer.queue.first().map(|o| o.urgency) {
+                    Some(Urgency::Rest) => writer.bucket.burst() * REST_RESERVE,
+                    _ => 0.0,
+                };
+                if let Some(wait) = writer.bucket.until(1.0 + reserve, now) {
+                    Some(wait.min(REST_LOOK))
                 } else {
                     requests.take(1.0, now).err()
                 }
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -31,6 +31,7 @@
 }
 
 fn later(text: &str) -> Response {
+    tracing::debug!(why = text, "a user has to come back");
     error(503, text).retry_after(RETRY_S)
 }
 
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -28,6 +28,13 @@
 /// A worker that comes back within this time could not reach its owner.
 const RELAY_MEMORY: Micros = Micros::from_secs(12);
 
+/// The part of the limit on writes for results of unfinished jobs, and how soon and how late
+/// each is written.
+const PARTIAL_SHARE: f64 = 0.3;
+const PARTIAL_SOONEST: Micros = Micros::from_millis(700);
+const PARTIAL_LATEST: Micros = Micros::from_secs(10);
+const PARTIAL_MAX: usize = 4_000;
+
 /// Machines taken on together, at most, and how long the first waits for more.
 const NEWCOMERS_MAX: usize = 500;
 const NEWCOMERS_WAIT: std::time::Duration = std::time::Duration::from_millis(100);
@@ -369,10 +376,15 @@
 
     /// Writes results. What is only partly done can wait a little, and then goes together.
     pub fn save_results(self: Rc<Self>) {
+        let now = self.now();
         let mut due = Vec::new();
         {
             let mut guarded = self.state.borrow_mut();
             let state = &mut *guarded;
+            if state.partial_due.len() > PARTIAL_MAX {
+                // Jobs of partitions that went elsewhere.
+                state.partial_due.retain(|_, at| now < *at);
+            }
             for partition in state.partitions.values_mut() {
                 for id in std::mem::take(&mut partition.unsaved) {
                     let Some(job) = partition.jobs.get(&id) else {
@@ -386,20 +398,33 @@
                         partition.unsaved.insert(id);
                         continue;
                     }
+                    if whole {
+                        state.partial_due.remove(&id);
+                    } else {
+                        // The more jobs have partial results, the seldomer each is written:
+                        // together they use no more than a part of the limit. What is not
+                        // written is safe with the workers, who forget nothing before it is.
+                        let rate = (state.writer.rate() * PARTIAL_SHARE).max(0.1);
+                        let wait = Micros::from_secs_f64(state.partial_due.len() as f64 / rate)
+                            .clamp(PARTIAL_SOONEST, PARTIAL_LATEST);
+                        let at = *state.partial_due.entry(id.clone()).or_insert(now + wait);
+                        if now < at {
+                            partition.unsaved.insert(id);
+                            continue;
+                        }
+                        state.partial_due.remove(&id);
+                    }
                     state.saving.insert(id.clone());
-                    due.push((partition.id, id, whole));
+                    due.push((partition.id, id));
                 }
             }
         }
-        for (p, id, whole) in due {
-            self.clone().spawn(self.clone().save(p, id, whole));
+        for (p, id) in due {
+            self.clone().spawn(self.clone().save(p, id));
         }
     }
 
-    async fn save(self: Rc<Self>, p: u32, id: JobId, whole: bool) {
-        if !whole {
-            tokio::time::sleep(std::time::Duration::from_millis(700)).await;
-        }
+    async fn save(self: Rc<Self>, p: u32, id: JobId) {
         let prepared = {
             let state = self.state.borrow();
             match (state.partitions.get(&p), state.mirror.job(&id)) {
