Spot machines for flexible work also while ordinary ones are refused

Ruled out: processor time, calls to the cloud (one a second of four), slow taking on. Change: where ordinary machines are short, spot ones are rented for the work that may use them, after the ordinary ones or when these are refused.

--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -654,22 +654,26 @@
             .filter(|k| k.value.usage == HostUse::Free)
             .count();
         let booting = leader.booting.len() as i64 + free as i64;
-        let booting_ordinary = leader.booting.values().filter(|b| !b.spot).count() as i64;
-        let short: i64 = stocks.iter().map(|s| (s.want - s.have).max(0)).sum::<i64>() - booting;
-        let short_ordinary: i64 = stocks
-            .iter()
-            .map(|s| (s.want_ordinary - s.have_ordinary).max(0))
-            .sum::<i64>()
-            - booting_ordinary;
-        let (count, order) = if short_ordinary > 0 {
-            (short_ordinary, [false, false])
-        } else if short > 0 {
-            (short, [true, false])
+        let booting_spot = leader.booting.values().filter(|b| b.spot).count() as i64;
+        let booting_ordinary = leader.booting.len() as i64 - booting_spot;
+        let sum = |f: &dyn Fn(&Stock) -> i64| stocks.iter().map(|s| f(s).max(0)).sum::<i64>();
+        let short = sum(&|s| s.want - s.have) - booting;
+        let short_ordinary = sum(&|s| s.want_ordinary - s.have_ordinary) - booting_ordinary;
+        // Work that may run on spot machines makes way on the ordinary ones: where those have
+        // run out, spot machines help as well.
+        let short_spot = sum(&|s| (s.want - s.want_ordinary) - (s.have - s.have_ordinary))
+            .min(sum(&|s| s.want - s.have))
+            - booting_spot;
+        let order = if short_ordinary > 0 {
+            [(short_ordinary, false), (short.min(short_spot), true)]
         } else {
-            return None;
+            [(short, true), (short, false)]
         };
         leader.refused.retain(|_, until| *until > now);
-        for spot in order {
+        for (count, spot) in order {
+            if count <= 0 {
+                continue;
+            }
             // Where the fewest are, so that a lost zone takes the least with it.
             let mut places: Vec<(usize, u64, Name, Name)> = specs
                 .values()
