--- a/crates/jasperhill-sched/src/room.rs
+++ b/crates/jasperhill-sched/src/room.rs
@@ -154,7 +154,7 @@
     pub(crate) fn make_gang_room(&mut self, pass: &mut Pass, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
         let request = job.request.clone();
-        if !is_urgent(&request) || request.tasks > 1 || !job.making_room.is_empty() {
+        if !is_urgent(&request) || !job.making_room.is_empty() {
             return;
         }
         if job
