Gangs of any priority stop lesser work, the least important first

Cause: dustfit gangs waited behind backfill, which is lower and saves its progress, while smokecast stopped dustfit rather than backfill. Change: any gang may stop strictly lower work; among the victims low work goes before normal, and what has run for half a minute before what has just started.

--- a/crates/jasperhill-sched/src/room.rs
+++ b/crates/jasperhill-sched/src/room.rs
@@ -1,9 +1,9 @@
-//! Making room: lesser work is stopped for production tasks and urgent gangs.
+//! Making room: lesser work is stopped for production tasks and gangs.
 
 use crate::{
     host::Host,
     partition::{Note, Partition},
-    pass::{Pass, is_urgent},
+    pass::Pass,
     suit::{ZoneRooms, start_delay},
 };
 use jasperhill_wire::{HostId, JobId, Micros, Name, Resources, TaskId, user::Priority};
@@ -14,6 +14,12 @@
 /// Room that comes by itself this soon is waited for.
 const SOON: Micros = Micros::from_secs(3);
 
+/// What stopping normal instead of low work is counted as.
+const MORE_IMPORTANT: Micros = Micros::from_secs(20);
+/// What has not run for so long has hardly started, and what stopping it is counted as.
+const FRESH: Micros = Micros::from_secs(30);
+const FRESH_COST: Micros = Micros::from_secs(10);
+
 /// Work that could be stopped.
 struct Victim {
     /// Work lost by stopping it.
@@ -46,6 +52,12 @@
                     } else {
                         (now - t.running.unwrap_or(now), Micros::ZERO)
                     };
+                    // The least important goes first; a start undone so soon was for nothing.
+                    let rank = u64::from(other.request.priority == Priority::Normal);
+                    let fresh = t.running.is_none_or(|r| now - r < FRESH);
+                    let lost = lost
+                        + Micros(MORE_IMPORTANT.0 * rank)
+                        + if fresh { FRESH_COST } else { Micros::ZERO };
                     Victim {
                         lost: Micros(lost.0.saturating_mul(u64::from(size))),
                         task: task.clone(),
@@ -149,12 +161,12 @@
         true
     }
 
-    /// Stops lesser work for an urgent gang that does not find room for all of its tasks.
+    /// Stops lesser work for a gang that does not find room for all of its tasks.
     /// The hosts are kept for it until it starts or the room has not come about in time.
     pub(crate) fn make_gang_room(&mut self, pass: &mut Pass, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
         let request = job.request.clone();
-        if !is_urgent(&request) || !job.making_room.is_empty() {
+        if !job.making_room.is_empty() {
             return;
         }
         if job
@@ -246,7 +258,7 @@
         let hosts: BTreeSet<usize> = chosen.iter().map(|s| s.at).collect();
         for seat in &chosen {
             let host = pass.slots[seat.at].id.clone();
-            self.stop_victims(&host, &seat.victims, "room for an urgent gang", pass.now);
+            self.stop_victims(&host, &seat.victims, "room for a gang", pass.now);
         }
         let hosts: Vec<HostId> = hosts.iter().map(|at| pass.slots[*at].id.clone()).collect();
         if let Some(job) = self.jobs.get_mut(id) {
