--- a/crates/jasperhill-sched/src/room.rs
+++ b/crates/jasperhill-sched/src/room.rs
@@ -126,7 +126,10 @@
                 continue;
             }
             let delay = start_delay(host, &request, pass.now);
-            if wait != Micros::MAX && delay + patience >= wait {
+            // Where it would start late all the same, lesser work is not stopped for it: in
+            // a cold start every image is still on its way, and such work would be stopped
+            // again and again.
+            if wait != Micros::MAX && (delay + patience >= wait || delay > patience) {
                 continue;
             }
             let (mut free, mut chosen, mut loss) = (slot.room, Vec::new(), Micros::ZERO);
