More hosts are emptied at a time and returned at once when nobody is short

Change: 64 are looked at, a quarter of what is too much is emptied at a time, and idle hosts are condemned by their owner when no partition is short.

--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -78,7 +78,7 @@
 }
 
 /// Hosts of a partition emptied at a time, at most.
-const DRAIN_MAX: i64 = 16;
+const DRAIN_MAX: i64 = 32;
 /// Machines asked for in one request, at most; the cloud's own bound.
 const RENT_MAX: u32 = 50;
 
@@ -792,7 +792,7 @@
                 };
                 if stock.have > stock.want {
                     // One by one would take too long where hundreds are too many.
-                    let most = ((stock.have - stock.want) / 8).clamp(1, DRAIN_MAX) as usize;
+                    let most = ((stock.have - stock.want) / 4).clamp(1, DRAIN_MAX) as usize;
                     let ordinary = stock.have_ordinary > stock.want_ordinary;
                     partition.drain_some(now, ordinary, most);
                 }
@@ -812,8 +812,11 @@
                         && partition.is_spare(&id, now, keep);
                     let usage = if lost || (bad && host.reach == Reach::Fenced) {
                         HostUse::Condemned(None)
-                    } else if spare {
+                    } else if spare && short {
                         HostUse::Free
+                    } else if spare {
+                        // Nobody is short: it need not go by way of the leader.
+                        HostUse::Condemned(None)
                     } else {
                         continue;
                     };
--- a/crates/jasperhill-sched/src/drain.rs
+++ b/crates/jasperhill-sched/src/drain.rs
@@ -14,7 +14,7 @@
 /// Hosts that hold more are not emptied.
 const TASKS_MOST: usize = 4;
 /// Hosts looked at closely in one go.
-const LOOKED_AT: usize = 8;
+const LOOKED_AT: usize = 64;
 /// A host that could not be emptied in this time is used again.
 const DRAIN_FOR: Micros = Micros::from_secs(90);
 
@@ -38,7 +38,7 @@
         fewest.sort();
         let chosen: Vec<HostId> = fewest
             .into_iter()
-            .take(LOOKED_AT.max(most))
+            .take(LOOKED_AT)
             .filter(|(_, id)| self.hosts.get(*id).is_some_and(|h| self.empties(h, now)))
             .take(most - draining)
             .map(|(_, id)| id.clone())
