--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -455,6 +455,11 @@
         Note::HostLost(host) => tracing::info!(%host, "host lost: its lease has lapsed"),
         Note::HostAside(host) => tracing::info!(%host, "host set aside: it fails what it starts"),
         Note::Stopped(task, host, why) => tracing::info!(%task, %host, why, "task stopped"),
+        Note::AllKnown(after, lapsed) => tracing::info!(
+            after_s = after.as_secs_f64(),
+            lapsed,
+            "all hosts are known after the takeover"
+        ),
         Note::Strange(task, host, why) => tracing::warn!(%task, %host, why, "task stopped"),
     }
 }
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -31,6 +31,9 @@
     HostAside(HostId),
     Stopped(TaskId, HostId, &'static str),
     Strange(TaskId, HostId, &'static str),
+    /// After a takeover: no host can run what is not known any more. After how long, and on
+    /// how many hosts only because their leases lapsed.
+    AllKnown(Micros, usize),
 }
 
 pub struct Partition {
@@ -52,6 +55,8 @@
     pub notes: Vec<Note>,
     /// Something changed that a pass could make use of.
     pub changed: bool,
+    /// Since when hosts may run what is not known, until none does.
+    haunted_since: Option<Micros>,
 }
 
 /// Attempts are unique by construction: the ownership's revision, then a counter.
@@ -73,6 +78,21 @@
             unsaved: BTreeSet::new(),
             notes: Vec::new(),
             changed: true,
+            haunted_since: None,
+        }
+    }
+
+    /// Notes when the last host has become known.
+    pub(crate) fn note_known(&mut self, now: Micros) {
+        match (self.has_ghosts(), self.haunted_since) {
+            (true, None) => self.haunted_since = Some(now),
+            (false, Some(since)) => {
+                self.haunted_since = None;
+                let lapsed = |h: &&Host| h.reach == crate::host::Reach::Lapsed;
+                let lapsed = self.hosts.values().filter(lapsed).count();
+                self.notes.push(Note::AllKnown(now - since, lapsed));
+            }
+            _ => {}
         }
     }
 
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -119,6 +119,7 @@
     pub fn pass(&mut self, now: Micros) {
         self.changed = false;
         self.lapse(now);
+        self.note_known(now);
         self.mend_gangs(now);
         self.drain_noticed(now);
         self.move_replicas(now);
