After a takeover, unknown hosts hold up only jobs that could be on them

Change: a job is held up only while an unknown host is of a type, zone and kind that it may use; replicas never run on spot machines and go on at once.

--- a/crates/jasperhill-sched/src/book.rs
+++ b/crates/jasperhill-sched/src/book.rs
@@ -258,7 +258,7 @@
         let Some(team) = self.config.team(&request.team) else {
             return Verdict::Refuse;
         };
-        let used = self.team_use(&request.team, self.has_ghosts());
+        let used = self.team_use(&request.team);
         let mut tested = 0;
         while tested < request.tasks.min(BOOK_MAX as u32)
             && team.allows(&(used + request.each.times(u64::from(tested) + 1)))
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -36,6 +36,18 @@
     AllKnown(Micros, usize),
 }
 
+/// The kinds of hosts (type, zone, spot) that may run what a predecessor started.
+#[derive(Clone, Debug, Default)]
+pub struct Ghosts(Vec<(Name, Name, bool)>);
+
+impl Ghosts {
+    fn may_hold(&self, request: &JobRequest) -> bool {
+        self.0
+            .iter()
+            .any(|(kind, zone, spot)| request.allows_host(kind, zone, *spot))
+    }
+}
+
 pub struct Partition {
     pub id: u32,
     /// Revision at which the present ownership began.
@@ -108,9 +120,26 @@
         self.hosts.values().any(Host::has_ghosts)
     }
 
-    /// A task of this job may be running unseen.
-    pub(crate) fn is_haunted(&self, job: &Job, ghosts: bool) -> bool {
-        ghosts && job.created <= self.since
+    /// The hosts that may run what a predecessor started.
+    pub(crate) fn ghosts(&self) -> Ghosts {
+        let mut ghosts = Ghosts::default();
+        for h in self.hosts.values().filter(|h| h.has_ghosts()) {
+            let known = ghosts
+                .0
+                .iter()
+                .any(|(k, z, s)| k == &h.spec.kind && z == &h.zone && *s == h.spot);
+            if !known {
+                ghosts.0.push((h.spec.kind.clone(), h.zone.clone(), h.spot));
+            }
+        }
+        ghosts
+    }
+
+    /// A task of this job may be running unseen: it is older than the takeover, and some
+    /// host that is not known yet is one that it could be on. A spot machine that was taken
+    /// silently does not hold up work that never runs on such.
+    pub(crate) fn is_haunted(&self, job: &Job, ghosts: &Ghosts) -> bool {
+        job.created <= self.since && ghosts.may_hold(&job.request)
     }
 
     pub fn upsert_job(
@@ -449,13 +478,12 @@
     }
 
     /// What the team uses, or may be using unseen.
-    pub fn team_use(&self, team: &Name, ghosts: bool) -> Resources {
+    pub fn team_use(&self, team: &Name) -> Resources {
         let mut used = self.used.get(team).copied().unwrap_or_default();
-        if ghosts {
-            for job in self.jobs.values() {
-                if &job.request.team == team && self.is_haunted(job, ghosts) {
-                    used += job.unseen();
-                }
+        let ghosts = self.ghosts();
+        for job in self.jobs.values() {
+            if &job.request.team == team && self.is_haunted(job, &ghosts) {
+                used += job.unseen();
             }
         }
         used
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -5,7 +5,7 @@
 use crate::{
     host::{Host, HostInput},
     job::TaskStep,
-    partition::Partition,
+    partition::{Ghosts, Partition},
 };
 use jasperhill_wire::{
     Attempt, HostId, JobId, Micros, Name, Resources, TaskId,
@@ -26,7 +26,7 @@
 /// What a pass keeps track of.
 pub(crate) struct Pass {
     pub now: Micros,
-    pub ghosts: bool,
+    pub ghosts: Ghosts,
     /// One for every host, in the order of [`Partition::hosts`]; none comes or goes meanwhile.
     pub slots: Vec<Slot>,
     /// What teams may be using unseen.
@@ -76,12 +76,10 @@
 impl Partition {
     /// The hosts as they are now.
     pub(crate) fn look(&self, now: Micros) -> Pass {
-        let ghosts = self.has_ghosts();
+        let ghosts = self.ghosts();
         let mut haunted: BTreeMap<Name, Resources> = BTreeMap::new();
-        if ghosts {
-            for job in self.jobs.values().filter(|j| self.is_haunted(j, ghosts)) {
-                *haunted.entry(job.request.team.clone()).or_default() += job.unseen();
-            }
+        for job in self.jobs.values().filter(|j| self.is_haunted(j, &ghosts)) {
+            *haunted.entry(job.request.team.clone()).or_default() += job.unseen();
         }
         let slots = self
             .hosts
@@ -132,7 +130,7 @@
             .filter(|j| {
                 j.ending.is_none()
                     && (j.pending() > 0 || !j.booked.is_empty())
-                    && !self.is_haunted(j, pass.ghosts)
+                    && !self.is_haunted(j, &pass.ghosts)
                     && now >= j.not_before
             })
             .map(|j| (j.rank(), j.request.id.clone()))
@@ -159,7 +157,7 @@
 
     /// A gang that has lost a task stops the rest; a new attempt waits for the last of them.
     fn mend_gangs(&mut self, now: Micros) {
-        let ghosts = self.has_ghosts();
+        let ghosts = self.ghosts();
         let broken: Vec<JobId> = self
             .jobs
             .values()
@@ -169,7 +167,7 @@
                     && !j.live.is_empty()
                     && j.unsaved.is_empty()
                     && j.pending() > 0
-                    && !self.is_haunted(j, ghosts)
+                    && !self.is_haunted(j, &ghosts)
             })
             .map(|j| j.request.id.clone())
             .collect();
--- a/crates/jasperhill-sched/src/plain.rs
+++ b/crates/jasperhill-sched/src/plain.rs
@@ -235,7 +235,7 @@
         return Verdict::Refuse;
     }
     let team = &part.config.teams[0];
-    let used = part.team_use(&request.team, false);
+    let used = part.team_use(&request.team);
     let mut tested = 0;
     while tested < request.tasks && team.allows(&(used + request.each.times(u64::from(tested) + 1)))
     {
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -224,6 +224,26 @@
     assert_eq!(live(&part, "job-old"), 1);
 }
 
+#[test]
+fn an_unknown_spot_machine_does_not_hold_up_work_that_never_runs_on_such() {
+    let mut part = partition(1, true);
+    let silent = HostRecord {
+        spot: true,
+        ..record("a")
+    };
+    part.upsert_host(&"n-9".into(), &silent, Revision(4), true, NOW);
+    let steady = request("job-steady", "array", 1, 1.0, None);
+    let mut flexible = (*request("job-flexible", "array", 1, 1.0, None)).clone();
+    flexible.spot = true;
+    for job in [steady, Rc::new(flexible)] {
+        part.upsert_job(&job, Revision(3), NOW, &[]);
+    }
+    part.on_report(&report("n-1", 1, 9, 5, vec![]), Source::Direct, NOW);
+    part.pass(NOW);
+    assert_eq!(live(&part, "job-steady"), 1);
+    assert_eq!(live(&part, "job-flexible"), 0);
+}
+
 #[test]
 fn the_limit_counts_what_may_run_unseen() {
     let mut part = partition(2, true);
