Hosts beyond a cut are kept alive with their owner's leave

Change: the controller beside such hosts asks through the state service, the owner counts their leases as renewed to the end of a grant and then writes it, and the keeper answers their reports with the owner's token, no new work, and stops for what is cancelled.

--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -7,6 +7,7 @@
     clock::Clock,
     cloud::Leader,
     hostbook::HostBook,
+    keep::{Granted, Keeping},
     mirror::{self, Change, JobEntry, Mirror},
     net::Transport,
     settings::Settings,
@@ -61,6 +62,10 @@
     pub specs: Option<Rc<Specs>>,
     pub writer: Writer,
     pub book: HostBook,
+    pub keeping: Keeping,
+    pub granted: Granted,
+    /// Keepers whose asks have changed.
+    pub asked: BTreeSet<Member>,
     pub barrier: Vec<oneshot::Sender<bool>>,
     pub requests: Bucket,
     pub cloud: Bucket,
@@ -109,6 +114,9 @@
     pub wake_writer: Notify,
     pub wake_barrier: Notify,
     pub wake_roles: Notify,
+    pub wake_keep: Notify,
+    pub wake_grant: Notify,
+    pub wake_kept: Notify,
 }
 
 /// One controller. Dropping it ends all that it does.
@@ -136,6 +144,9 @@
             specs: None,
             writer: Writer::new(Bucket::new(writes, writes, now)),
             book: HostBook::default(),
+            keeping: Keeping::default(),
+            granted: Granted::new(),
+            asked: BTreeSet::new(),
             barrier: Vec::new(),
             requests: Bucket::new(rps, rps, now),
             cloud: Bucket::new(settings.cloud_rps * 0.8, settings.cloud_rps, now),
@@ -170,6 +181,9 @@
             wake_writer: Notify::new(),
             wake_barrier: Notify::new(),
             wake_roles: Notify::new(),
+            wake_keep: Notify::new(),
+            wake_grant: Notify::new(),
+            wake_kept: Notify::new(),
         });
         inner.clone().spawn(inner.clone().mirror_loop());
         inner.clone().spawn(inner.clone().barrier_loop());
@@ -179,6 +193,8 @@
         inner.clone().spawn(inner.clone().pass_loop());
         inner.clone().spawn(inner.clone().cloud_loop());
         inner.clone().spawn(inner.clone().outage_loop());
+        inner.clone().spawn(inner.clone().keep_loop());
+        inner.clone().spawn(inner.clone().grant_loop());
         Self(inner)
     }
 
@@ -260,6 +276,11 @@
                     roles = true;
                 }
                 Change::Role(_) => roles = true,
+                Change::Ask(keeper) => {
+                    state.asked.insert(keeper);
+                    self.wake_grant.notify_one();
+                }
+                Change::Grant => self.wake_kept.notify_waiters(),
                 Change::Types => {
                     if let Some(types) = &state.mirror.types
                         && state.specs.is_none()
--- /dev/null
+++ b/crates/jasperhill-control/src/keep.rs
@@ -0,0 +1,369 @@
+//! Keeping hosts alive for an owner that they can't reach, when two zones are apart and no
+//! controller reaches both: a controller beside them answers their reports, with the owner's
+//! leave. Owns what this controller asks for, and what it has granted.
+//!
+//! The keeper writes the hosts that come to it into its *ask*. The owner, if it has not heard
+//! them itself, first counts their leases as renewed until the end of the grant, and then
+//! writes the *grant*, which names the ask. The keeper may answer, with the owner's token and
+//! no new work, until [`Settings::grant`] after it *sent* that ask; the owner counts from when
+//! it *saw* the ask, which is later. So no host is taken for lapsed that could still be kept,
+//! whatever is delivered late. A takeover counts from its own beginning, since every grant in
+//! the store then belongs to an ask sent before.
+
+use crate::{
+    authority::Session,
+    controller::{Inner, State, std_time},
+    mirror::JobEntry,
+    store::{Urgency, Written, guard, put},
+};
+use jasperhill_http::Response;
+use jasperhill_sched::HostInput;
+use jasperhill_wire::{
+    HostId, Member, Micros, Revision, Token,
+    record::{AskRecord, GrantRecord, Role, ask_key, grant_key, role_key, session_key},
+    state::Change,
+    worker::{Order, Report, orders_body},
+};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use tokio::time::{sleep, timeout};
+
+/// What this controller keeps for others.
+#[derive(Default)]
+pub(crate) struct Keeping {
+    /// Hosts that came here because they can't reach their owner, and when they last did.
+    hosts: BTreeMap<HostId, Micros>,
+    /// When the asks were sent, by number.
+    sent: BTreeMap<u64, Micros>,
+    number: u64,
+    changed: bool,
+    written: bool,
+    last: Micros,
+    /// When another controller last failed to answer, if it has not answered since.
+    unreached: BTreeMap<Member, Micros>,
+}
+
+/// What this controller has granted, by partition and keeper: the ask answered, and when.
+pub(crate) type Granted = BTreeMap<(u32, Member), (u64, Micros)>;
+
+/// Asks remembered.
+const SENT_MAX: usize = 32;
+/// Hosts that fit an ask whatever their names, as a part of a value's bytes.
+const HOST_BYTES: usize = 24;
+/// How long a report may wait for the grant; the worker waits four seconds.
+const GRANT_WAIT: Duration = Duration::from_millis(2_200);
+/// Hosts that join soon after one another are asked for together.
+const ASK_PAUSE: Micros = Micros::from_millis(150);
+/// A cancellation older than this is known to a controller that keeps hosts.
+const FRESH: Micros = Micros::from_secs(3);
+/// An answer of another controller, or its absence, counts for so long.
+const UNREACHED_FOR: Micros = Micros::from_secs(8);
+
+impl Inner {
+    /// Notes whether another controller answers.
+    pub fn note_reach(&self, to: std::net::SocketAddr, answered: bool) {
+        let Some(peer) = self.settings.peers.iter().find(|p| p.address == to) else {
+            return;
+        };
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let unreached = &mut state.keeping.unreached;
+        if answered {
+            unreached.remove(&peer.member);
+        } else {
+            unreached.insert(peer.member.clone(), now);
+        }
+    }
+
+    fn is_unreached(&self, state: &State, member: &Member, now: Micros) -> bool {
+        let at = state.keeping.unreached.get(member);
+        at.is_some_and(|t| now - *t < UNREACHED_FOR)
+    }
+
+    /// This worker can't reach its owner, as far as can be told from here: it is beside this
+    /// controller, the owner is elsewhere and does not answer, and no third zone has a
+    /// controller that could pass reports on.
+    pub fn is_cut_off(&self, zone: &str, owner: &Member) -> bool {
+        let state = self.state.borrow();
+        let here = self.settings.site.as_str();
+        let Some(peer) = self.settings.peers.iter().find(|p| &p.member == owner) else {
+            return false;
+        };
+        let Some(there) = peer.site.as_ref() else {
+            return false;
+        };
+        let third = self
+            .settings
+            .peers
+            .iter()
+            .filter_map(|p| p.site.as_ref())
+            .any(|s| s.as_str() != here && s != there);
+        zone == here
+            && there.as_str() != here
+            && !third
+            && self.is_unreached(&state, owner, self.now())
+    }
+
+    /// Answers a report for the owner if that has given, or soon gives, its leave.
+    pub async fn keep(self: &Rc<Self>, report: &Report) -> Option<Response> {
+        let begin = {
+            let now = self.now();
+            let mut state = self.state.borrow_mut();
+            let most = self.settings.value_bytes.saturating_sub(256) / HOST_BYTES;
+            let keeping = &mut state.keeping;
+            if !keeping.hosts.contains_key(&report.host) {
+                if keeping.hosts.len() >= most || report.host.as_str().len() > HOST_BYTES - 4 {
+                    return None;
+                }
+                keeping.changed = true;
+            }
+            keeping.hosts.insert(report.host.clone(), now).is_none()
+        };
+        if begin {
+            self.wake_keep.notify_one();
+        }
+        let granted = timeout(GRANT_WAIT, async {
+            loop {
+                let news = self.wake_kept.notified();
+                if let Some(answer) = self.kept_answer(report) {
+                    return answer;
+                }
+                news.await;
+            }
+        });
+        granted.await.ok()
+    }
+
+    /// The answer for the owner: it renews the lease and stops what is cancelled. `None`
+    /// without a grant that still holds.
+    fn kept_answer(&self, report: &Report) -> Option<Response> {
+        let now = self.now();
+        let state = self.state.borrow();
+        let Session::Held { lease, .. } = state.authority.session() else {
+            return None;
+        };
+        // The bound on cancellations: whoever keeps a host knows what is to be stopped there.
+        if !state.authority.holds(now) || now - state.authority.fresh() > FRESH {
+            return None;
+        }
+        let kept = state.mirror.hosts.get(&report.host)?;
+        let p = kept.value.partition()?;
+        let grant = state
+            .mirror
+            .grants
+            .get(&(p, self.settings.member.clone()))?;
+        if grant.value.lease != lease || !grant.value.hosts.contains(&report.host) {
+            return None;
+        }
+        let sent = *state.keeping.sent.get(&grant.value.number)?;
+        let margin = Micros::from_millis(200) + self.settings.grant().scale(0.002);
+        if now + margin >= sent + self.settings.grant() {
+            return None;
+        }
+        let role = state.mirror.roles.get(&Role::Partition(p))?;
+        let token = Token(kept.version.0.max(role.version.0));
+        let orders: Vec<Order> = report
+            .tasks
+            .iter()
+            .filter(|t| {
+                let entry = state.mirror.job(&t.task.job);
+                matches!(entry, Some(JobEntry::Final { .. }))
+            })
+            .map(|t| Order::Stop(t.task.clone(), t.attempt, Micros::ZERO))
+            .collect();
+        Some(Response::new(200, orders_body(token, None, &orders)))
+    }
+
+    /// Writes the ask when it changes, and again and again while there is something to keep.
+    pub async fn keep_loop(self: Rc<Self>) {
+        loop {
+            let _ = timeout(Duration::from_millis(500), self.wake_keep.notified()).await;
+            let now = self.now();
+            let prepared = {
+                let mut guarded = self.state.borrow_mut();
+                let state = &mut *guarded;
+                let gone = self.settings.report.scale(2.5) + Micros::from_secs(5);
+                let keeping = &mut state.keeping;
+                let before = keeping.hosts.len();
+                keeping.hosts.retain(|_, at| now - *at < gone);
+                keeping.changed |= keeping.hosts.len() != before;
+                let due = if keeping.hosts.is_empty() {
+                    keeping.written
+                } else {
+                    keeping.changed || now - keeping.last >= self.settings.grant().scale(0.25)
+                };
+                match state.authority.session() {
+                    Session::Held { lease, version } if due => {
+                        keeping.changed = false;
+                        keeping.last = now;
+                        keeping.number += 1;
+                        let number = keeping.number;
+                        // Before the write: the grant's time runs from here.
+                        keeping.sent.insert(number, now);
+                        while keeping.sent.len() > SENT_MAX {
+                            keeping.sent.pop_first();
+                        }
+                        let hosts: Vec<HostId> = keeping.hosts.keys().cloned().collect();
+                        Some((lease, version, number, hosts))
+                    }
+                    _ => None,
+                }
+            };
+            let Some((lease, version, number, hosts)) = prepared else {
+                continue;
+            };
+            let me = &self.settings.member;
+            let key = ask_key(me);
+            let empty = hosts.is_empty();
+            let change = if empty {
+                Change::Delete { key }
+            } else {
+                let record = AskRecord {
+                    number,
+                    lease,
+                    hosts,
+                };
+                match put(key, &record) {
+                    Change::Put { key, value, .. } => Change::Put {
+                        key,
+                        value,
+                        lease: Some(lease),
+                    },
+                    other => other,
+                }
+            };
+            let guards = vec![guard(session_key(me), version)];
+            let limit = Micros::from_secs(1);
+            let done = self
+                .write(Urgency::Accept, guards, vec![change], limit)
+                .await;
+            self.state.borrow_mut().keeping.written = !empty || !matches!(done, Written::Done(_));
+            self.ping_unreached();
+            sleep(std_time(ASK_PAUSE)).await;
+        }
+    }
+
+    /// Asks those that did not answer whether they do now, so that hosts go home in time.
+    fn ping_unreached(self: &Rc<Self>) {
+        let unreached: Vec<Member> = {
+            let state = self.state.borrow();
+            state.keeping.unreached.keys().cloned().collect()
+        };
+        for member in unreached {
+            let Some(address) = self.address_of(&member) else {
+                continue;
+            };
+            let inner = self.clone();
+            self.clone().spawn(async move {
+                let ask = jasperhill_wire::mesh::MeshRequest::IsFresh;
+                inner.ask(address, ask, Micros::from_secs(1)).await;
+            });
+        }
+    }
+
+    /// Answers asks, and removes grants that are over.
+    pub async fn grant_loop(self: Rc<Self>) {
+        loop {
+            let _ = timeout(Duration::from_secs(1), self.wake_grant.notified()).await;
+            let asked = std::mem::take(&mut self.state.borrow_mut().asked);
+            for keeper in asked {
+                self.consider_ask(&keeper);
+            }
+            self.tend_grants();
+        }
+    }
+
+    /// Grants what a keeper asks for, as far as the hosts are this controller's and have not
+    /// been heard here.
+    fn consider_ask(self: &Rc<Self>, keeper: &Member) {
+        let now = self.now();
+        let mut guarded = self.state.borrow_mut();
+        let state = &mut *guarded;
+        let Some(ask) = state.mirror.asks.get(keeper).map(|k| k.value.clone()) else {
+            return;
+        };
+        if keeper == &self.settings.member || !state.authority.holds(now) {
+            return;
+        }
+        let until = now + self.settings.grant();
+        let quiet = self.settings.report.scale(1.25) + Micros::from_millis(500);
+        let mut grants = Vec::new();
+        for (p, partition) in &mut state.partitions {
+            let silent: Vec<HostId> = ask
+                .hosts
+                .iter()
+                .filter(|id| {
+                    partition.hosts.get(*id).is_some_and(|h| {
+                        h.reach != jasperhill_sched::Reach::Lapsed && now - h.last_heard > quiet
+                    })
+                })
+                .cloned()
+                .collect();
+            if silent.is_empty() {
+                continue;
+            }
+            for id in &silent {
+                // Before the grant can be seen by anybody.
+                partition.apply(id, HostInput::Kept(until), now);
+            }
+            state
+                .granted
+                .insert((*p, keeper.clone()), (ask.number, now));
+            grants.push((*p, partition.since, silent));
+        }
+        drop(guarded);
+        for (p, since, hosts) in grants {
+            tracing::debug!(partition = p, %keeper, hosts = hosts.len(), "hosts are kept by another");
+            let record = GrantRecord {
+                number: ask.number,
+                lease: ask.lease,
+                hosts,
+            };
+            let change = put(grant_key(p, keeper), &record);
+            self.write_grant(p, since, change);
+        }
+    }
+
+    fn write_grant(self: &Rc<Self>, p: u32, since: Revision, change: Change) {
+        let inner = self.clone();
+        self.clone().spawn(async move {
+            let guards = vec![guard(role_key(Role::Partition(p)), since)];
+            let limit = Micros::from_secs(1);
+            inner
+                .write(Urgency::Accept, guards, vec![change], limit)
+                .await;
+        });
+    }
+
+    /// Removes grants that nobody can use any more.
+    fn tend_grants(self: &Rc<Self>) {
+        let now = self.now();
+        let mut over = Vec::new();
+        {
+            let mut guarded = self.state.borrow_mut();
+            let state = &mut *guarded;
+            if !state.authority.holds(now) {
+                return;
+            }
+            for (p, partition) in &state.partitions {
+                for (q, keeper) in state.mirror.grants.keys() {
+                    if q != p {
+                        continue;
+                    }
+                    let key = (*p, keeper.clone());
+                    // One from before this ownership counts as given now.
+                    let (_, at) = *state.granted.entry(key.clone()).or_insert((0, now));
+                    if now - at > self.settings.grant().scale(1.5) + Micros::from_secs(2) {
+                        over.push((key, partition.since));
+                    }
+                }
+            }
+            for (key, _) in &over {
+                state.granted.remove(key);
+            }
+        }
+        for ((p, keeper), since) in over {
+            let key = grant_key(p, &keeper);
+            self.write_grant(p, since, Change::Delete { key });
+        }
+    }
+}
--- a/crates/jasperhill-control/src/lib.rs
+++ b/crates/jasperhill-control/src/lib.rs
@@ -8,6 +8,7 @@
 mod cloud;
 pub mod controller;
 mod hostbook;
+mod keep;
 mod mesh;
 pub mod mirror;
 pub mod net;
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -41,7 +41,9 @@
     pub async fn ask(&self, to: SocketAddr, ask: MeshRequest, limit: Micros) -> Option<MeshAnswer> {
         let body = encode(ask).ok()?;
         let request = Request::new(Method::Post, "/mesh", body);
-        let answer = self.call(to, request, limit).await.ok()?;
+        let answer = self.call(to, request, limit).await;
+        self.note_reach(to, answer.is_ok());
+        let answer = answer.ok()?;
         if answer.status != 200 {
             return None;
         }
--- a/crates/jasperhill-control/src/mirror.rs
+++ b/crates/jasperhill-control/src/mirror.rs
@@ -4,7 +4,7 @@
 use jasperhill_wire::{
     HostId, JobId, Member, Revision,
     cloud::MachineTypes,
-    record::{HostBlock, HostRecord, JobRecord, Key, RecordPhase, Role, RoleRecord, SessionRecord},
+    record::{AskRecord, GrantRecord, HostBlock, HostRecord, JobRecord, Key, RecordPhase, Role, RoleRecord, SessionRecord},
     state::{Event, Item},
     user::JobRequest,
 };
@@ -84,6 +84,8 @@
     Host(HostId),
     Session(Member),
     Role(Role),
+    Ask(Member),
+    Grant,
     Types,
 }
 
@@ -99,6 +101,8 @@
     pub sessions: BTreeMap<Member, Kept<SessionRecord>>,
     pub roles: BTreeMap<Role, Kept<RoleRecord>>,
     pub types: Option<Kept<MachineTypes>>,
+    pub asks: BTreeMap<Member, Kept<AskRecord>>,
+    pub grants: BTreeMap<(u32, Member), Kept<GrantRecord>>,
     /// Keys deleted by ourselves ahead of the watch, with the revisions of the deletions.
     buried: BTreeMap<String, Revision>,
 }
@@ -115,6 +119,8 @@
             sessions: BTreeMap::new(),
             roles: BTreeMap::new(),
             types: None,
+            asks: BTreeMap::new(),
+            grants: BTreeMap::new(),
             buried: BTreeMap::new(),
         }
     }
@@ -239,14 +245,24 @@
 
     /// Keys that can go away, with their versions. Jobs never do.
     fn keys(&self) -> Vec<(String, Revision)> {
-        use jasperhill_wire::record::{block_key, role_key, session_key};
+        use jasperhill_wire::record::{ask_key, block_key, grant_key, role_key, session_key};
         let hosts = self.blocks.iter().map(|(n, v)| (block_key(*n), *v));
         let sessions = self
             .sessions
             .iter()
             .map(|(m, k)| (session_key(m), k.version));
         let roles = self.roles.iter().map(|(r, k)| (role_key(*r), k.version));
-        hosts.chain(sessions).chain(roles).collect()
+        let asks = self.asks.iter().map(|(m, k)| (ask_key(m), k.version));
+        let grants = self
+            .grants
+            .iter()
+            .map(|((p, m), k)| (grant_key(*p, m), k.version));
+        hosts
+            .chain(sessions)
+            .chain(roles)
+            .chain(asks)
+            .chain(grants)
+            .collect()
     }
 
     fn put(&mut self, key: &str, value: Value, version: Revision, changes: &mut Vec<Change>) {
@@ -277,6 +293,18 @@
                     changes.push(Change::Role(role));
                 }
             }),
+            Key::Ask(keeper) => read(value).map(|value| {
+                if newer(self.asks.get(&keeper), version) {
+                    self.asks.insert(keeper.clone(), Kept { value, version });
+                    changes.push(Change::Ask(keeper));
+                }
+            }),
+            Key::Grant(p, keeper) => read(value).map(|value| {
+                if newer(self.grants.get(&(p, keeper.clone())), version) {
+                    self.grants.insert((p, keeper), Kept { value, version });
+                    changes.push(Change::Grant);
+                }
+            }),
             Key::Types => read(value).map(|value| {
                 if newer(self.types.as_ref(), version) {
                     self.types = Some(Kept { value, version });
@@ -393,6 +421,17 @@
                     changes.push(Change::Role(role));
                 }
             }
+            Key::Ask(keeper) => {
+                if self.asks.get(&keeper).is_some_and(|k| version > k.version) {
+                    self.asks.remove(&keeper);
+                }
+            }
+            Key::Grant(p, keeper) => {
+                let key = (p, keeper);
+                if self.grants.get(&key).is_some_and(|k| version > k.version) {
+                    self.grants.remove(&key);
+                }
+            }
             // Jobs are never deleted, the types neither.
             Key::Job(_) | Key::Types => {}
         }
--- a/crates/jasperhill-control/src/roles.rs
+++ b/crates/jasperhill-control/src/roles.rs
@@ -135,6 +135,15 @@
                         part.upsert_host(id, &kept.value, kept.version, true, now);
                     }
                 }
+                // Whoever keeps hosts by the former owner's leave may do so for the rest of it.
+                let until = now + self.settings.grant();
+                for ((q, _), grant) in &state.mirror.grants {
+                    if *q == p {
+                        for id in &grant.value.hosts {
+                            part.apply(id, jasperhill_sched::HostInput::Kept(until), now);
+                        }
+                    }
+                }
                 tracing::info!(
                     partition = p,
                     revision = version.0,
--- a/crates/jasperhill-control/src/settings.rs
+++ b/crates/jasperhill-control/src/settings.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Debug)]
 pub struct Peer {
     pub member: Member,
+    /// The zone it is in, if that is said.
+    pub site: Option<Name>,
     pub address: SocketAddr,
 }
 
@@ -80,6 +82,8 @@
 #[derive(Deserialize)]
 struct RawPeer {
     member: String,
+    #[serde(default)]
+    site: Option<String>,
     endpoint: String,
 }
 #[derive(Deserialize)]
@@ -193,6 +197,7 @@
             let address = address("others.endpoint", &other.endpoint)?;
             peers.push(Peer {
                 member: Member::new(peer.as_str()),
+                site: other.site.as_deref().map(Name::from),
                 address,
             });
         }
@@ -322,6 +327,14 @@
         wanted.clamp(Micros::from_secs(2), Micros::from_secs(600))
     }
 
+    /// How long a keeper may answer for an owner, counted from its ask: long enough to bridge
+    /// the time between asks several times, and no longer than lets cancelled tasks end in
+    /// time even if their host is lost to the keeper as well.
+    pub fn grant(&self) -> Micros {
+        let slack = (self.cancel - self.lease).scale(0.5) - Micros::from_secs(1);
+        self.lease.scale(0.6).min(slack)
+    }
+
     /// All controllers in the same order everywhere; its index is a controller's home.
     pub fn members(&self) -> Vec<Member> {
         let mut all: Vec<Member> = self.peers.iter().map(|p| p.member.clone()).collect();
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -58,6 +58,17 @@
             return mine.response;
         };
         let now = self.now();
+        // A cut between two zones that outlasts the lease: sent to its owner, the worker would
+        // only lose time that its tasks do not have.
+        let report = Report::parse(body).ok();
+        if let Some(report) = &report
+            && self.is_cut_off(report.zone.as_str(), &owner)
+        {
+            return match self.keep(report).await {
+                Some(answer) => answer,
+                None => mine.response,
+            };
+        }
         let came_back = {
             let mut state = self.state.borrow_mut();
             if state.redirected.len() > 1_000 {
--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -80,6 +80,8 @@
     Report(&'a Report, Source),
     /// A report was answered 200 with these orders.
     Answered(&'a [Order]),
+    /// Another controller may answer its reports until then.
+    Kept(Micros),
     /// Orders go out directly.
     DirectSent(Vec<Order>),
     /// The direct orders were executed, or surely were not (their report comes separately).
@@ -304,7 +306,7 @@
         match input {
             HostInput::Report(report, source) => self.on_report(report, source, now, &mut out),
             HostInput::Answered(orders) => {
-                self.last_answer = now;
+                self.last_answer = self.last_answer.max(now);
                 for order in orders {
                     if let Order::Start(task, attempt) = order
                         && let Some(t) = self.tasks.get_mut(task)
@@ -314,6 +316,7 @@
                     }
                 }
             }
+            HostInput::Kept(until) => self.last_answer = self.last_answer.max(until),
             HostInput::DirectSent(orders) => {
                 let starts = orders.into_iter().filter_map(|o| match o {
                     Order::Start(task, attempt) => Some((task, attempt)),
--- a/crates/jasperhill-testkit/src/world.rs
+++ b/crates/jasperhill-testkit/src/world.rs
@@ -73,7 +73,8 @@
     );
     for other in (0..NODES).filter(|o| *o != node) {
         text += &format!(
-            "[[others]]\nmember='worker-{other}'\nendpoint='10.0.0.{}:8081'\n",
+            "[[others]]\nmember='worker-{other}'\nsite='{}'\nendpoint='10.0.0.{}:8081'\n",
+            if other == 1 { "b" } else { "a" },
             other + 1
         );
     }
--- a/crates/jasperhill-wire/src/record.rs
+++ b/crates/jasperhill-wire/src/record.rs
@@ -25,6 +25,15 @@
     }
 }
 
+/// What a controller asks to keep alive for owners that are out of reach.
+pub fn ask_key(keeper: &Member) -> String {
+    format!("jh/ask/{keeper}")
+}
+/// What an owner lets a keeper answer for.
+pub fn grant_key(partition: u32, keeper: &Member) -> String {
+    format!("jh/grant/{partition}/{keeper}")
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Role {
     Partition(u32),
@@ -38,6 +47,8 @@
     Hosts(u32),
     Session(Member),
     Role(Role),
+    Ask(Member),
+    Grant(u32, Member),
     Types,
 }
 
@@ -59,6 +70,11 @@
             "job" => Self::Job(name.into()),
             "hosts" => Self::Hosts(name.parse().ok()?),
             "session" => Self::Session(name.into()),
+            "ask" => Self::Ask(name.into()),
+            "grant" => {
+                let (partition, keeper) = name.split_once('/')?;
+                Self::Grant(partition.parse().ok()?, keeper.into())
+            }
             "part" => Self::Role(Role::Partition(name.parse().ok()?)),
             _ => return None,
         })
@@ -106,6 +122,28 @@
     pub lease: u64,
 }
 
+/// The hosts that a keeper asks for. The lease and the number name the ask.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AskRecord {
+    #[serde(rename = "n")]
+    pub number: u64,
+    #[serde(rename = "l")]
+    pub lease: u64,
+    #[serde(rename = "h")]
+    pub hosts: Vec<HostId>,
+}
+
+/// The hosts that an owner lets a keeper answer for, and the ask that this answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GrantRecord {
+    #[serde(rename = "n")]
+    pub number: u64,
+    #[serde(rename = "l")]
+    pub lease: u64,
+    #[serde(rename = "h")]
+    pub hosts: Vec<HostId>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HostUse {
     /// In a partition, whose owner may start tasks.
