Tests: a large cluster, cuts that outlast the lease, owners that end meanwhile

The large case has 300 machines, gangs of up to 16, arrays of up to 250 and services of up to 12 tasks, through a crash, a cut between the zones, twelve dying machines and a restart of all controllers, under the same rule checks.

--- a/crates/jasperhill-control/src/mirror.rs
+++ b/crates/jasperhill-control/src/mirror.rs
@@ -4,7 +4,10 @@
 use jasperhill_wire::{
     HostId, JobId, Member, Revision,
     cloud::MachineTypes,
-    record::{AskRecord, GrantRecord, HostBlock, HostRecord, JobRecord, Key, RecordPhase, Role, RoleRecord, SessionRecord},
+    record::{
+        AskRecord, GrantRecord, HostBlock, HostRecord, JobRecord, Key, RecordPhase, Role,
+        RoleRecord, SessionRecord,
+    },
     state::{Event, Item},
     user::JobRequest,
 };
--- a/crates/jasperhill-testkit/src/rules.rs
+++ b/crates/jasperhill-testkit/src/rules.rs
@@ -19,6 +19,7 @@
     starts: Vec<(String, TaskId, u64)>,
     pub started: usize,
     pub most_at_once: usize,
+    pub killed: usize,
 }
 
 impl Rules {
--- a/crates/jasperhill-testkit/src/users.rs
+++ b/crates/jasperhill-testkit/src/users.rs
@@ -1,6 +1,6 @@
 //! A stand-in for users: submits, polls, cancels, submits again, and minds every answer.
 
-use crate::world::World;
+use crate::world::{Scale, World};
 use jasperhill_http::{Method, Request};
 use jasperhill_wire::user::JobRequest;
 use serde_json::{Value, json};
@@ -10,12 +10,26 @@
 /// A job of some kind, by the world's luck.
 pub fn make(world: &World, number: usize) -> Value {
     let pick = |n: u64| world.pick(n);
+    // Tasks of a job, by its kind.
+    let most: [u64; 4] = match world.scale {
+        Scale::Small => [2, 2, 6, 4],
+        Scale::Large => [12, 5, 250, 60],
+    };
+    let size = |kind: usize| {
+        let n = 1 + pick(most[kind]);
+        // Gangs come in powers of two, up to 16.
+        if kind == 1 && world.scale == Scale::Large {
+            1 << (n - 1)
+        } else {
+            n
+        }
+    };
     let (class, shape, urgency, tasks, gpus, spot, due) = match pick(4) {
         0 => (
             "service",
             "daemon",
             "prod",
-            1 + pick(2),
+            size(0),
             1.0,
             false,
             Value::Null,
@@ -24,7 +38,7 @@
             "gang",
             "ensemble",
             "urgent",
-            1 + pick(2),
+            size(1),
             2.0,
             false,
             Value::Null,
@@ -33,20 +47,12 @@
             "batch",
             "array",
             "standard",
-            1 + pick(6),
+            size(2),
             1.0,
             true,
             json!(60.0 + pick(120) as f64),
         ),
-        _ => (
-            "loose",
-            "array",
-            "idle",
-            1 + pick(4),
-            1.0,
-            true,
-            Value::Null,
-        ),
+        _ => ("loose", "array", "idle", size(3), 1.0, true, Value::Null),
     };
     let estimate = if shape == "daemon" {
         0.0
--- a/crates/jasperhill-testkit/src/workers.rs
+++ b/crates/jasperhill-testkit/src/workers.rs
@@ -209,6 +209,7 @@
         rules: &mut Rules,
     ) {
         if now - self.lease_from > times.lease {
+            rules.killed += self.tasks.values().filter(|t| t.is_on()).count();
             self.tasks.clear();
             self.tenure += 1;
             self.lease_from = now;
--- a/crates/jasperhill-testkit/src/world.rs
+++ b/crates/jasperhill-testkit/src/world.rs
@@ -28,6 +28,40 @@
     pub jobs: usize,
     /// Troubles at set times.
     pub troubles: Vec<(u64, Trouble)>,
+    pub scale: Scale,
+}
+
+/// How large the deployment is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scale {
+    /// A handful of machines and jobs of a few tasks.
+    Small,
+    /// Hundreds of machines, arrays of hundreds, gangs of up to 16 whole machines.
+    Large,
+}
+
+impl Scale {
+    /// Machines that are up at the start.
+    fn hosts(self) -> usize {
+        match self {
+            Self::Small => 6,
+            Self::Large => 300,
+        }
+    }
+    /// Machines that there are.
+    fn capacity(self) -> usize {
+        match self {
+            Self::Small => 16,
+            Self::Large => 360,
+        }
+    }
+    /// What a team may use at once.
+    fn gpu_limit(self) -> f64 {
+        match self {
+            Self::Small => 5.0,
+            Self::Large => 200.0,
+        }
+    }
 }
 
 /// What came of it.
@@ -38,6 +72,8 @@
     pub finished: usize,
     pub started: usize,
     pub most_at_once: usize,
+    /// Tasks that were killed because their machine's lease ran out.
+    pub killed: usize,
 }
 
 pub struct Inside {
@@ -58,14 +94,14 @@
     pub inner: RefCell<Inside>,
     settings: Vec<Settings>,
     origin: Instant,
+    pub scale: Scale,
 }
 
 const NODES: usize = 3;
 const LEASE: Duration = Duration::from_secs(16);
 const CANCEL: Duration = Duration::from_secs(46);
-const GPU_LIMIT: f64 = 5.0;
 
-fn settings(node: usize) -> Settings {
+fn settings(node: usize, scale: Scale) -> Settings {
     let mut text = format!(
         "member='worker-{node}'\nsite='{}'\nbind='10.0.0.{n}:8080'\nmesh_addr='10.0.0.{n}:8081'\n",
         if node == 1 { "b" } else { "a" },
@@ -84,8 +120,10 @@
         [params.state]\nrps=250.0\nwrite_rps=100.0\nvalue_kb=16.0\ntxn_ops=48\n\
         [params.cloud]\nrps=4.0\nlist_lag_s=3.0\n[params.quota]\nmax_connections=1000\n";
     for team in 0..4 {
-        text +=
-            &format!("[[params.teams]]\nname='team-{team}'\ngpus=2.0\ngpus_max={GPU_LIMIT:?}\n");
+        text += &format!(
+            "[[params.teams]]\nname='team-{team}'\ngpus=2.0\ngpus_max={:?}\n",
+            scale.gpu_limit()
+        );
     }
     Settings::parse(&text).unwrap()
 }
@@ -458,7 +496,7 @@
 
     async fn tick_loop(self: Rc<Self>) {
         let limits: BTreeMap<String, u64> = (0..4)
-            .map(|t| (format!("team-{t}"), (GPU_LIMIT * 1e6) as u64))
+            .map(|t| (format!("team-{t}"), (self.scale.gpu_limit() * 1e6) as u64))
             .collect();
         let times = Times {
             lease: LEASE,
@@ -595,8 +633,8 @@
     local.block_on(&runtime, async move {
         let now = Instant::now();
         let zones = vec!["a".to_owned(), "b".to_owned()];
-        let mut cloud = Cloud::new(zones, 16, Duration::from_secs(3));
-        for n in 0..6 {
+        let mut cloud = Cloud::new(zones, plan.scale.capacity(), Duration::from_secs(3));
+        for n in 0..plan.scale.hosts() {
             cloud.add(
                 if n % 2 == 0 { "a" } else { "b" },
                 false,
@@ -619,8 +657,9 @@
                 lives: vec![0; NODES],
                 faults: Faults::default(),
             }),
-            settings: (0..NODES).map(settings).collect(),
+            settings: (0..NODES).map(|n| settings(n, plan.scale)).collect(),
             origin: now,
+            scale: plan.scale,
         });
         for node in 0..NODES {
             world.start_node(node);
@@ -652,6 +691,7 @@
             finished: inner.finished,
             started: inner.rules.started,
             most_at_once: inner.rules.most_at_once,
+            killed: inner.rules.killed,
         }
     })
 }
--- a/crates/jasperhill-testkit/tests/cluster.rs
+++ b/crates/jasperhill-testkit/tests/cluster.rs
@@ -5,7 +5,7 @@
     Plan,
     faults::{Place, Trouble},
     run,
-    world::Outcome,
+    world::{Outcome, Scale},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::time::Duration;
@@ -20,6 +20,7 @@
         seconds: 300,
         jobs: 60,
         troubles,
+        scale: Scale::Small,
     });
     assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
     // A run that does nothing would prove nothing.
@@ -113,8 +114,64 @@
             seconds: 300,
             jobs: 60,
             troubles,
+            scale: Scale::Small,
         });
         assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
         assert!(outcome.started > 50, "seed {seed}: {outcome:?}");
     }
 }
+
+/// The two zones can't reach each other for longer than a lease: node 1 is alone in zone b.
+fn zones_apart(at: u64, time: Duration) -> Vec<(u64, Trouble)> {
+    let zone = |z: &str| Place::Zone(z.to_owned());
+    [
+        (Place::Node(0), zone("b")),
+        (Place::Node(2), zone("b")),
+        (Place::Node(1), zone("a")),
+        (Place::Node(0), Place::Node(1)),
+        (Place::Node(2), Place::Node(1)),
+    ]
+    .into_iter()
+    .map(|(a, b)| (at, Trouble::Cut(a, b, time)))
+    .collect()
+}
+
+#[test]
+fn tasks_outlast_a_cut_between_the_only_two_zones() {
+    let mut killed = 0;
+    for seed in [40, 41, 42] {
+        killed += play(seed, zones_apart(120, secs(40))).killed;
+    }
+    // Seven without keepers.
+    assert!(killed <= 2, "{killed}");
+}
+
+#[test]
+fn owners_end_while_their_hosts_are_kept_by_others() {
+    for seed in [43, 44] {
+        let mut troubles = zones_apart(100, secs(45));
+        troubles.push((112, Trouble::Crash(0, secs(6))));
+        troubles.push((120, Trouble::Crash(1, secs(20))));
+        troubles.push((125, Trouble::Refused(2, secs(12))));
+        play(seed, troubles);
+    }
+}
+
+#[test]
+fn a_large_deployment_through_restarts_cuts_and_dying_machines() {
+    let mut troubles = zones_apart(60, secs(25));
+    troubles.push((35, Trouble::Crash(0, secs(6))));
+    troubles.extend((0..3).map(|n| (100, Trouble::Crash(n, secs(5)))));
+    troubles.extend((0..12).map(|n| (40 + 5 * n, Trouble::Die)));
+    let outcome = run(Plan {
+        seed: 50,
+        seconds: 150,
+        jobs: 120,
+        troubles,
+        scale: Scale::Large,
+    });
+    assert_eq!(outcome.broken, Vec::<String>::new());
+    assert!(outcome.accepted > 70, "{outcome:?}");
+    assert!(outcome.started > 2_000, "{outcome:?}");
+    assert!(outcome.most_at_once > 250, "{outcome:?}");
+}
