The owner names the token that a keeper shows; hosts that saw a higher one get theirs raised

Tasks stayed «ordered» on hosts that were heard: a keeper that had restarted read host records from a listing, where an entry has its block's revision, and showed a token above the owner's, whose orders then were dropped. Ruled out: packing itself, doubt, flights, silent or unknown hosts (counted at debug level now), sockets, quotas. Change: the grant carries the tokens; a report with a higher token than ours has the host's record rewritten, which raises ours; the tick comes once a second however busy a controller is.

--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -367,6 +367,7 @@
 
     /// The loop that decides: after changes, and every second for what only time changes.
     async fn pass_loop(self: Rc<Self>) {
+        let mut ticked = self.now();
         loop {
             let woken = timeout(Duration::from_secs(1), self.wake_pass.notified())
                 .await
@@ -375,7 +376,14 @@
                 // Changes come in groups.
                 sleep(Duration::from_millis(10)).await;
             }
-            self.clone().pass(!woken);
+            // In a large deployment something changes all the time: the tick comes all the
+            // same, or hosts that did not answer after a takeover were never asked again.
+            let now = self.now();
+            let tick = now - ticked >= Micros::from_secs(1);
+            if tick {
+                ticked = now;
+            }
+            self.clone().pass(tick);
         }
     }
 
@@ -396,6 +404,20 @@
                     .map(|h| h.id.clone())
                     .collect();
                 partition.dirty.extend(unfenced);
+                if tracing::enabled!(tracing::Level::DEBUG) {
+                    let [unknown, lapsed, doubt, silent, aside, draining] = partition.unusable(now);
+                    tracing::debug!(
+                        partition = *p,
+                        hosts = partition.hosts.len(),
+                        unknown,
+                        lapsed,
+                        doubt,
+                        silent,
+                        aside,
+                        draining,
+                        "hosts that get no tasks"
+                    );
+                }
             }
             if tick || partition.changed {
                 partition.pass(now);
--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -48,7 +48,7 @@
 /// Asks remembered.
 const SENT_MAX: usize = 32;
 /// Hosts that fit an ask whatever their names, as a part of a value's bytes.
-const HOST_BYTES: usize = 24;
+const HOST_BYTES: usize = 40;
 /// How long a report may wait for the grant; the worker waits four seconds.
 const GRANT_WAIT: Duration = Duration::from_millis(2_200);
 /// Hosts that join soon after one another are asked for together.
@@ -111,7 +111,7 @@
             let most = self.settings.value_bytes.saturating_sub(256) / HOST_BYTES;
             let keeping = &mut state.keeping;
             if !keeping.hosts.contains_key(&report.host) {
-                if keeping.hosts.len() >= most || report.host.as_str().len() > HOST_BYTES - 4 {
+                if keeping.hosts.len() >= most || report.host.as_str().len() > HOST_BYTES / 2 {
                     return None;
                 }
                 keeping.changed = true;
@@ -151,7 +151,8 @@
             .mirror
             .grants
             .get(&(p, self.settings.member.clone()))?;
-        if grant.value.lease != lease || !grant.value.hosts.contains(&report.host) {
+        let token = *grant.value.hosts.get(&report.host)?;
+        if grant.value.lease != lease {
             return None;
         }
         let sent = *state.keeping.sent.get(&grant.value.number)?;
@@ -159,8 +160,6 @@
         if now + margin >= sent + self.settings.grant() {
             return None;
         }
-        let role = state.mirror.roles.get(&Role::Partition(p))?;
-        let token = Token(kept.version.0.max(role.version.0));
         let orders: Vec<Order> = report
             .tasks
             .iter()
@@ -288,20 +287,19 @@
         let quiet = self.settings.report.scale(1.25) + Micros::from_millis(500);
         let mut grants = Vec::new();
         for (p, partition) in &mut state.partitions {
-            let silent: Vec<HostId> = ask
+            let silent: BTreeMap<HostId, Token> = ask
                 .hosts
                 .iter()
-                .filter(|id| {
-                    partition.hosts.get(*id).is_some_and(|h| {
-                        h.reach != jasperhill_sched::Reach::Lapsed && now - h.last_heard > quiet
-                    })
+                .filter_map(|id| partition.hosts.get(id))
+                .filter(|h| {
+                    h.reach != jasperhill_sched::Reach::Lapsed && now - h.last_heard > quiet
                 })
-                .cloned()
+                .map(|h| (h.id.clone(), h.token))
                 .collect();
             if silent.is_empty() {
                 continue;
             }
-            for id in &silent {
+            for id in silent.keys() {
                 // Before the grant can be seen by anybody.
                 partition.apply(id, HostInput::Kept(until), now);
             }
--- a/crates/jasperhill-control/src/roles.rs
+++ b/crates/jasperhill-control/src/roles.rs
@@ -139,7 +139,7 @@
                 let until = now + self.settings.grant();
                 for ((q, _), grant) in &state.mirror.grants {
                     if *q == p {
-                        for id in &grant.value.hosts {
+                        for id in grant.value.hosts.keys() {
                             part.apply(id, jasperhill_sched::HostInput::Kept(until), now);
                         }
                     }
--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -431,6 +431,11 @@
             self.doubt = Doubt::None;
             self.doubted.clear();
         }
+        if report.token > self.token && self.doubt == Doubt::None {
+            // Orders with our token are dropped there, and our answers renew no lease: the
+            // record is rewritten, which raises the token above any that was ever shown.
+            self.doubt = Doubt::NeedsToken;
+        }
         if report.token >= self.token && self.reach != Reach::Fenced {
             self.reach = Reach::Fenced;
             out.push(HostOutput::Fenced);
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -115,6 +115,29 @@
         Attempt((self.since.0 << ATTEMPT_BITS) + self.attempts)
     }
 
+    /// How many hosts can't get new tasks, by reason: not known yet, lapsed, in doubt, not
+    /// heard, set aside or under notice, being emptied.
+    pub fn unusable(&self, now: Micros) -> [usize; 6] {
+        use crate::host::Reach;
+        let mut counts = [0; 6];
+        for h in self.hosts.values() {
+            if h.is_usable(now, &self.config) {
+                continue;
+            }
+            let reason = match h.reach {
+                Reach::Unfenced { .. } => 0,
+                Reach::Lapsed => 1,
+                Reach::Fenced if h.in_doubt() => 2,
+                Reach::Fenced if h.draining.is_some() => 5,
+                Reach::Fenced if h.notice.is_some() => 4,
+                Reach::Fenced if h.aside_until.is_some_and(|t| now < t) => 4,
+                Reach::Fenced => 3,
+            };
+            counts[reason] += 1;
+        }
+        counts
+    }
+
     /// Some host may run what a predecessor started.
     pub fn has_ghosts(&self) -> bool {
         self.hosts.values().any(Host::has_ghosts)
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -111,6 +111,24 @@
     assert_eq!(host.orders(|_, _| false), vec![]);
 }
 
+/// A worker that has seen a higher token drops every order: without this the host looks
+/// usable, and what is started there stays «ordered» for ever.
+#[test]
+fn a_host_that_has_seen_a_higher_token_gets_none_until_ours_is_raised() {
+    let mut host = host();
+    host.apply(
+        HostInput::Report(&report("n-1", 1, 2, 8, vec![]), Source::Hello),
+        NOW,
+    );
+    assert!(host.needs_token() && !host.is_usable(NOW, &config()));
+    host.apply(HostInput::TokenRaised(Token(9)), NOW);
+    host.apply(
+        HostInput::Report(&report("n-1", 1, 3, 9, vec![]), Source::Hello),
+        NOW,
+    );
+    assert!(host.is_usable(NOW, &config()));
+}
+
 #[test]
 fn a_stopped_task_counts_until_no_order_can_start_it() {
     let mut host = host();
--- a/crates/jasperhill-wire/src/record.rs
+++ b/crates/jasperhill-wire/src/record.rs
@@ -133,7 +133,9 @@
     pub hosts: Vec<HostId>,
 }
 
-/// The hosts that an owner lets a keeper answer for, and the ask that this answers.
+/// The hosts that an owner lets a keeper answer for, with the tokens to show, and the ask
+/// that this answers. The owner names the tokens: another controller's mirror may have read a
+/// host's record as part of a younger block, and a token above the owner's would shut it out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GrantRecord {
     #[serde(rename = "n")]
@@ -141,7 +143,7 @@
     #[serde(rename = "l")]
     pub lease: u64,
     #[serde(rename = "h")]
-    pub hosts: Vec<HostId>,
+    pub hosts: BTreeMap<HostId, Token>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
