--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -11,7 +11,7 @@
 use jasperhill_sched::{
     Reach,
     config::specs,
-    fleet::{Demand, Need, plan, with_headroom},
+    fleet::{Demand, Need, plan},
 };
 use jasperhill_wire::{
     HostId, Micros, Name, Revision,
@@ -236,8 +236,8 @@
                 })
             })
             .collect();
-        let headroom = self.settings.own.tuning.headroom;
-        let planned = |need: f64| with_headroom(need, headroom);
+        let head = 1.0 + self.settings.own.tuning.headroom;
+        let planned = |need: f64| need * head;
         let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
         let now = self.now();
         let mut stocks: Vec<Stock> = plan(&demands, &self.sched, specs)
--- a/crates/jasperhill-sched/src/fleet.rs
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -18,16 +18,6 @@
     pub left: Option<Micros>,
 }
 
-/// The hosts planned for a need: some more than it, since work does not pack without waste
-/// and comes in lumps. Both even out with size, so that beyond [`EVEN`] hosts the margin
-/// grows with the root only.
-pub fn with_headroom(need: f64, headroom: f64) -> f64 {
-    need + headroom * need * (EVEN / need.max(EVEN)).sqrt()
-}
-
-/// Up to this many hosts the margin is a fixed part.
-const EVEN: f64 = 1e18;
-
 /// Hosts that all tasks of a job would fill, or as many as a team may use at once.
 pub fn hosts_for(request: &JobRequest, specs: &Specs) -> f64 {
     specs
