Jobs that fail wherever they run are suspect: hosts are absolved, one try at a time

Cause: an array with a mistake had its failures counted against the first two of every nine hosts it failed on. Ruled out: sick machines as the cause; they fail four tasks at most before they are found. Change: sched::trust says whose fault a failure is. Failures on three hosts (two that served others lately) without any success make a job suspect: hosts are absolved, one task is tried after pauses of 4 to 64 s where others succeed, nothing is booked, reserved, displaced or rented for it. A success, or a try that outlives the failed ones, clears it and blames its hosts after all. The record keeps the level, so that a takeover does not repeat the damage.

--- a/crates/jasperhill-control/src/cloud.rs
+++ b/crates/jasperhill-control/src/cloud.rs
@@ -227,6 +227,8 @@
         let demands: Vec<Demand<'_>> = state
             .mirror
             .active()
+            // No machine is rented for what fails wherever it runs.
+            .filter(|job| job.failing == 0)
             .filter_map(|job| {
                 Some(Demand {
                     request: &job.request,
@@ -806,7 +808,7 @@
                     }
                     let lost = host.reach == Reach::Lapsed
                         && now - host.last_answer > self.sched.lapse() + Micros::from_secs(30);
-                    let bad = host.is_empty() && (host.errors >= 2 || host.slowness > 2.2);
+                    let bad = host.is_empty() && (host.is_faulty(now) || host.slowness > 2.2);
                     let spare = stock.have > stock.want
                         && (host.spot || stock.have_ordinary > stock.want_ordinary)
                         && partition.is_spare(&id, now, keep);
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -331,7 +331,8 @@
                     return false;
                 };
                 let submitted = self.clock.steady(job.submitted);
-                partition.upsert_job(&job.request, job.version, submitted, &job.finished);
+                let trust = (job.failing, now);
+                partition.upsert_job(&job.request, job.version, submitted, &job.finished, trust);
                 true
             }
             Some(JobEntry::Final { phase, .. }) => {
@@ -497,6 +498,10 @@
     match note {
         Note::HostLost(host) => tracing::info!(%host, "host lost: its lease has lapsed"),
         Note::HostAside(host) => tracing::info!(%host, "host set aside: it fails what it starts"),
+        Note::Failed(task, host, ran) => {
+            tracing::debug!(%task, %host, ran_s = ran.as_secs_f64(), "task failed");
+        }
+        Note::JobSuspect(job) => tracing::info!(%job, "job suspect: it fails wherever it runs"),
         Note::Stopped(task, host, why) => tracing::info!(%task, %host, why, "task stopped"),
         Note::AllKnown(after, lapsed) => tracing::info!(
             after_s = after.as_secs_f64(),
--- a/crates/jasperhill-control/src/mirror.rs
+++ b/crates/jasperhill-control/src/mirror.rs
@@ -46,6 +46,8 @@
     pub submitted: jasperhill_wire::Micros,
     pub finished: Vec<u32>,
     pub done_count: u32,
+    /// Tries that failed wherever it ran; 0 if nothing speaks against it.
+    pub failing: u32,
     pub version: Revision,
 }
 
@@ -384,6 +386,7 @@
                     submitted: record.submitted.unwrap_or_default(),
                     finished: record.finished,
                     done_count: record.done_count,
+                    failing: record.failing,
                     version,
                 }))
             }
--- a/crates/jasperhill-control/src/roles.rs
+++ b/crates/jasperhill-control/src/roles.rs
@@ -127,7 +127,8 @@
                     if self.partition_of(&job.request.team) == Some(p) {
                         let submitted = self.clock.steady(job.submitted);
                         // Revision 0: old enough to be running anywhere.
-                        part.upsert_job(&job.request, Revision(0), submitted, &job.finished);
+                        let trust = (job.failing, now);
+                        part.upsert_job(&job.request, Revision(0), submitted, &job.finished, trust);
                     }
                 }
                 for (id, kept) in &state.mirror.hosts {
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -205,6 +205,7 @@
             request: Some(request.clone()),
             submitted: Some(self.clock.wall()),
             finished: Vec::new(),
+            failing: 0,
         };
         let key = job_key(&request.id);
         let mut guards = vec![guard(&key, Revision(0))];
@@ -404,6 +405,7 @@
                 request: None,
                 submitted: None,
                 finished: Vec::new(),
+                failing: 0,
             };
             let guards = vec![guard(job_key(&id), version)];
             let changes = vec![put(job_key(&id), &record)];
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -402,7 +402,9 @@
                         continue;
                     };
                     let whole = job.done.is_full();
-                    if job.unsaved.is_empty() || job.ending.is_some() || (job.is_gang() && !whole) {
+                    let suspected = job.trust.failing() != job.failing_saved;
+                    let partial = !job.unsaved.is_empty() && (!job.is_gang() || whole);
+                    if job.ending.is_some() || !(partial || suspected) {
                         continue;
                     }
                     if state.saving.contains(&id) || state.saving.len() > 100 {
@@ -450,7 +452,7 @@
                             guards,
                             put(job_key(&id), &record),
                             tasks,
-                            record.phase,
+                            (record.phase, record.failing),
                             partition.since,
                         )
                     }),
@@ -458,7 +460,7 @@
             }
         };
         let mut saved = true;
-        if let Some((guards, change, tasks, phase, since)) = prepared {
+        if let Some((guards, change, tasks, (phase, failing), since)) = prepared {
             let urgency = if phase == RecordPhase::Done {
                 Urgency::Finish
             } else {
@@ -472,7 +474,7 @@
                 if let Some(partition) = self.state.borrow_mut().partitions.get_mut(&p)
                     && partition.since == since
                 {
-                    partition.saved(&id, &tasks);
+                    partition.saved(&id, &tasks, failing);
                 }
             } else {
                 // The next try goes by what the mirror then shows.
@@ -482,10 +484,10 @@
         let mut state = self.state.borrow_mut();
         state.saving.remove(&id);
         if let Some(partition) = state.partitions.get_mut(&p)
-            && partition
-                .jobs
-                .get(&id)
-                .is_some_and(|j| !j.unsaved.is_empty() && j.ending.is_none())
+            && partition.jobs.get(&id).is_some_and(|j| {
+                j.ending.is_none()
+                    && (!j.unsaved.is_empty() || j.trust.failing() != j.failing_saved)
+            })
         {
             partition.unsaved.insert(id);
             if saved {
@@ -508,10 +510,12 @@
                 request: None,
                 submitted: None,
                 finished: Vec::new(),
+                failing: 0,
             };
             return Some((record, job.unsaved.clone()));
         }
-        if job.is_gang() {
+        let failing = job.trust.failing();
+        if job.is_gang() && failing == job.failing_saved {
             return None;
         }
         let most = (self.settings.value_bytes.saturating_sub(1_800) / 7).max(2);
@@ -521,7 +525,7 @@
             .unsaved
             .iter()
             .copied()
-            .filter(|i| durable.contains(*i))
+            .filter(|i| !job.is_gang() && durable.contains(*i))
             .collect();
         let record = JobRecord {
             phase: RecordPhase::Active,
@@ -529,6 +533,7 @@
             request: Some((*active.request).clone()),
             submitted: Some(active.submitted),
             finished,
+            failing,
         };
         Some((record, tasks))
     }
--- a/crates/jasperhill-sched/src/gang.rs
+++ b/crates/jasperhill-sched/src/gang.rs
@@ -5,7 +5,7 @@
     job::{Job, KeptHosts},
     partition::Partition,
     pass::Pass,
-    suit::{ZoneRooms, cost},
+    suit::{ZoneRooms, cost, unproved},
 };
 use jasperhill_wire::{HostId, JobId, Micros, Name, Resources, user::JobRequest};
 use std::collections::{BTreeMap, BTreeSet};
@@ -50,6 +50,8 @@
                     self.start(pass, id, i as u32, slot, Some(attempt));
                 }
             }
+            // Nobody makes way for what fails wherever it runs.
+            None if job.trust.is_suspect() => {}
             None => {
                 self.reserve(pass, id, &request);
                 self.make_gang_room(pass, id);
@@ -101,7 +103,10 @@
         }
         let mut candidates: Vec<_> = fitting
             .into_iter()
-            .map(|(i, room, host)| (cost(host, &room, request, pass.now), i, host, room))
+            .map(|(i, room, host)| {
+                let cost = cost(host, &room, request, pass.now) + unproved(job, host, pass.now);
+                (cost, i, host, room)
+            })
             .collect();
         candidates.sort_by_key(|(cost, i, _, _)| (*cost, *i));
         let mut slots = Vec::new();
--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -3,7 +3,7 @@
 
 use crate::config::{MachineSpec, SchedConfig};
 use jasperhill_wire::{
-    Attempt, HostId, Micros, Name, Resources, TaskId, Token,
+    Attempt, HostId, JobId, Micros, Name, Resources, TaskId, Token,
     record::{HostRecord, HostUse},
     worker::{Cause, Order, Report, TaskPhase},
 };
@@ -12,6 +12,16 @@
     rc::Rc,
 };
 
+/// Errors in a row after which a host is set aside, and for how long.
+const ERRORS: usize = 2;
+const ASIDE: Micros = Micros::from_secs(60);
+/// Errors remembered.
+const BLAME_MAX: usize = 16;
+/// By then a job that fails everywhere is found out: no host is returned for its errors before.
+const ABSOLVED_WITHIN: Micros = Micros::from_secs(8);
+/// A completed task proves a host for so long after its start.
+const PROVED_FOR: Micros = Micros::from_secs(120);
+
 /// How well a host is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -144,9 +154,11 @@
     pub idle_since: Option<Micros>,
     /// Being emptied so that it can be given up, since when.
     pub draining: Option<Micros>,
-    /// Errors in a row, and set aside until.
-    pub errors: u32,
+    /// The jobs of its errors in a row, one for each error, and set aside until.
+    pub blame: Vec<JobId>,
     pub aside_until: Option<Micros>,
+    /// When the last task that completed here was started.
+    pub proved: Option<Micros>,
     /// Run times against expectation, smoothed; above 1 is slow.
     pub slowness: f64,
 }
@@ -186,8 +198,9 @@
             queue: Vec::new(),
             idle_since: Some(now),
             draining: None,
-            errors: 0,
+            blame: Vec::new(),
             aside_until: None,
+            proved: None,
             slowness: 1.0,
         }
     }
@@ -204,6 +217,42 @@
     pub fn in_flight(&self) -> bool {
         self.flight.is_some()
     }
+    /// A task of this job failed here. True if the host is set aside for it.
+    pub fn blame(&mut self, job: &JobId, now: Micros) -> bool {
+        if self.blame.len() < BLAME_MAX {
+            self.blame.push(job.clone());
+        }
+        let aside = self.blame.len() >= ERRORS;
+        let news = aside && self.aside_until.is_none_or(|t| now >= t);
+        if aside {
+            self.aside_until = Some(now + ASIDE);
+        }
+        news
+    }
+
+    /// The failures of this job turn out to be its own.
+    pub fn absolve(&mut self, job: &JobId) {
+        let before = self.blame.len();
+        self.blame.retain(|j| j != job);
+        if before >= ERRORS && self.blame.len() < ERRORS {
+            self.aside_until = None;
+        }
+    }
+
+    /// Fails what it starts, by errors that no job has been found to be the cause of for a while.
+    pub fn is_faulty(&self, now: Micros) -> bool {
+        self.blame.len() >= ERRORS
+            && self
+                .aside_until
+                .is_none_or(|t| now + ASIDE >= t + ABSOLVED_WITHIN)
+    }
+
+    /// Has served others lately, and nothing speaks against it.
+    pub fn serves(&self, other_than: &JobId, now: Micros) -> bool {
+        self.proved.is_some_and(|t| now - t < PROVED_FOR)
+            && self.blame.iter().all(|j| j == other_than)
+    }
+
     /// Nothing runs, may run or is booked there.
     pub fn is_empty(&self) -> bool {
         self.on == 0 && self.doubt == Doubt::None && self.flight.is_none() && !self.has_ghosts()
--- a/crates/jasperhill-sched/src/job.rs
+++ b/crates/jasperhill-sched/src/job.rs
@@ -1,7 +1,7 @@
 //! The job machine: which tasks of a job are finished, live, booked or pending. Every change
 //! of a task's state goes through [`Job::set`].
 
-use crate::done::DoneSet;
+use crate::{done::DoneSet, trust::Trust};
 use jasperhill_wire::{
     Attempt, HostId, Micros, Resources, Revision,
     user::{JobRequest, Priority, Shape},
@@ -57,10 +57,14 @@
     returned: BTreeSet<u32>,
     /// Set when the record has become final: nothing starts any more.
     pub ending: Option<Ending>,
-    /// Hosts on which its tasks failed, and when to try again.
-    pub failed_on: BTreeSet<HostId>,
+    /// Whether its failures are its own.
+    pub trust: Trust,
+    /// What its record says of them.
+    pub failing_saved: u32,
+    /// A start was refused: not again before then.
     pub not_before: Micros,
-    pub failures: u32,
+    /// Some task of it has failed: its run times tell nothing.
+    pub failed: bool,
     /// Room is being made there, and is waited for until then.
     pub making_room: Vec<(HostId, Micros)>,
     /// Hosts kept free for this waiting gang.
@@ -93,9 +97,10 @@
             cursor: 0,
             returned: BTreeSet::new(),
             ending: None,
-            failed_on: BTreeSet::new(),
+            trust: Trust::Sound,
+            failing_saved: 0,
             not_before: Micros::ZERO,
-            failures: 0,
+            failed: false,
             making_room: Vec::new(),
             kept: None,
             attempt: None,
@@ -169,6 +174,16 @@
         self.request.tasks - self.done.count() - self.live.len() as u32 - self.booked.len() as u32
     }
 
+    /// How many more tasks may start: a suspect job tries one at a time.
+    pub fn startable(&self) -> u32 {
+        if !self.trust.is_suspect() || self.is_gang() {
+            self.pending()
+        } else {
+            self.pending()
+                .min(1u32.saturating_sub(self.live.len() as u32))
+        }
+    }
+
     pub fn is_gang(&self) -> bool {
         self.request.shape == Shape::Gang
     }
@@ -187,6 +202,8 @@
     pub fn rank(&self) -> (u8, u64, Priority, Micros) {
         let p = self.request.priority;
         let band = match p {
+            // Behind everything else.
+            _ if self.trust.is_suspect() => 3,
             Priority::Production => 0,
             Priority::High => 1,
             Priority::Normal | Priority::Low => 2,
--- a/crates/jasperhill-sched/src/lib.rs
+++ b/crates/jasperhill-sched/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod room;
 pub mod split;
 pub mod suit;
+pub mod trust;
 
 pub use config::{MachineSpec, SchedConfig, TeamLimits, Tuning};
 pub use done::DoneSet;
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -5,6 +5,7 @@
     config::{SchedConfig, Specs},
     host::{Host, HostInput, HostOutput, Source, TaskState},
     job::{Ending, Job, TaskStep},
+    trust::{self, Trust},
 };
 use jasperhill_wire::{
     Attempt, HostId, JobId, Micros, Name, Resources, Revision, TaskId, Token,
@@ -29,6 +30,9 @@
 pub enum Note {
     HostLost(HostId),
     HostAside(HostId),
+    JobSuspect(JobId),
+    /// A task failed after running for so long.
+    Failed(TaskId, HostId, Micros),
     Stopped(TaskId, HostId, &'static str),
     Strange(TaskId, HostId, &'static str),
     /// After a takeover: no host can run what is not known any more. After how long, and on
@@ -171,9 +175,13 @@
         created: Revision,
         submitted: Micros,
         finished: &[u32],
+        // As its record says: tries that failed everywhere, and the time now.
+        (failing, now): (u32, Micros),
     ) {
         if !self.jobs.contains_key(&request.id) {
-            let job = Job::new(request.clone(), created, submitted, finished);
+            let mut job = Job::new(request.clone(), created, submitted, finished);
+            job.trust = Trust::from_record(failing, now);
+            job.failing_saved = failing;
             self.jobs.insert(request.id.clone(), job);
             self.changed = true;
         }
@@ -363,8 +371,11 @@
             self.finish_gang(&task.job);
             self.unsaved.insert(task.job.clone());
             if let Some(host) = self.hosts.get_mut(id) {
-                host.errors = 0;
+                host.blame.clear();
+                let began = host.tasks.get(task).map(|t| t.ordered);
+                host.proved = host.proved.max(began);
             }
+            self.judge_again(&task.job, trust::Input::Succeeded, now);
             self.sweep(&task.job);
             return;
         }
@@ -377,25 +388,7 @@
         {
             match cause {
                 Cause::Error => {
-                    job.failed_on.insert(id.clone());
-                    job.failures += 1;
-                    // A job that fails wherever it runs is its user's mistake: it waits longer
-                    // and longer, and its failures are not held against the hosts.
-                    if job.failed_on.len() >= 3 {
-                        let wait = 1u64 << job.failures.min(5);
-                        job.not_before = now + Micros::from_secs(wait);
-                        if job.failed_on.len() > 8 {
-                            job.failed_on.clear();
-                        }
-                    } else if let Some(host) = self.hosts.get_mut(id) {
-                        host.errors += 1;
-                        if host.errors >= 2 {
-                            if host.aside_until.is_none_or(|t| now >= t) {
-                                self.notes.push(Note::HostAside(id.clone()));
-                            }
-                            host.aside_until = Some(now + Micros::from_secs(60));
-                        }
-                    }
+                    self.failed(id, task, now);
                 }
                 Cause::NoRoom | Cause::Busy | Cause::Unknown => {
                     job.not_before = now + Micros::from_secs(1);
@@ -415,6 +408,98 @@
         self.sweep(&task.job);
     }
 
+    /// A task has failed: held against its host, or, once it has failed wherever it was tried,
+    /// against the job. Guards against a few arrays with a mistake that set aside and return a
+    /// large part of the fleet within seconds.
+    fn failed(&mut self, id: &HostId, task: &TaskId, now: Micros) {
+        let (Some(job), Some(host)) = (self.jobs.get_mut(&task.job), self.hosts.get_mut(id)) else {
+            return;
+        };
+        job.failed = true;
+        let ran = host
+            .tasks
+            .get(task)
+            .and_then(|t| t.running)
+            .map_or(Micros::ZERO, |began| now - began);
+        self.notes.push(Note::Failed(task.clone(), id.clone(), ran));
+        let (was, level) = (job.trust.is_suspect(), job.trust.failing());
+        let failed = trust::Input::Failed {
+            host: id,
+            serves: host.serves(&task.job, now),
+            ran,
+        };
+        job.trust.apply(failed, now);
+        if job.trust.failing() != level {
+            self.unsaved.insert(task.job.clone());
+        }
+        if !job.trust.is_suspect() {
+            if host.blame(&task.job, now) {
+                self.notes.push(Note::HostAside(id.clone()));
+            }
+        } else if !was {
+            let booked: Vec<u32> = job.booked.keys().copied().collect();
+            job.making_room.clear();
+            job.kept = None;
+            self.notes.push(Note::JobSuspect(task.job.clone()));
+            for i in booked {
+                self.unbook(&task.job, i);
+            }
+            for host in self.hosts.values_mut() {
+                host.absolve(&task.job);
+            }
+        }
+    }
+
+    /// Something speaks for a job: it completes a task, or one runs. If that clears it, the
+    /// hosts on which it failed are blamed after all.
+    fn judge_again(&mut self, id: &JobId, input: trust::Input<'_>, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let hosts = match &job.trust {
+            Trust::Suspect { hosts, .. } => hosts.clone(),
+            _ => BTreeSet::new(),
+        };
+        let was = job.trust.is_suspect();
+        job.trust.apply(input, now);
+        if !was || job.trust.is_suspect() {
+            return;
+        }
+        self.unsaved.insert(id.clone());
+        self.changed = true;
+        for host in hosts {
+            if let Some(h) = self.hosts.get_mut(&host)
+                && !h.serves(id, now)
+            {
+                // Failures that nothing excuses, as many as set a host aside.
+                let news = h.blame(id, now) | h.blame(id, now);
+                if news {
+                    self.notes.push(Note::HostAside(host));
+                }
+            }
+        }
+    }
+
+    /// A try that outlives those that failed clears a suspect job.
+    pub(crate) fn clear_suspects(&mut self, now: Micros) {
+        let mut outlived = Vec::new();
+        for (id, job) in self.jobs.iter().filter(|(_, j)| j.trust.is_suspect()) {
+            let runs = job
+                .running
+                .iter()
+                .filter_map(|i| {
+                    let host = self.hosts.get(job.live.get(i)?)?;
+                    host.tasks.get(&TaskId::new(id, *i))?.running
+                })
+                .map(|began| now - began)
+                .max();
+            outlived.extend(runs.map(|time| (id.clone(), time)));
+        }
+        for (id, time) in outlived {
+            self.judge_again(&id, trust::Input::Runs(time), now);
+        }
+    }
+
     /// A gang's attempt is over once nothing of it is left.
     fn finish_gang(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id)
@@ -443,7 +528,7 @@
             return;
         };
         let estimate = job.request.estimate.as_secs_f64();
-        if estimate <= 0.0 || job.preempted > 0 || job.failures > 0 {
+        if estimate <= 0.0 || job.preempted > 0 || job.failed {
             return;
         }
         let seen = ((now - began).as_secs_f64() / estimate).clamp(0.2, 5.0);
@@ -513,8 +598,9 @@
     }
 
     /// The results of these tasks are in the record.
-    pub fn saved(&mut self, id: &JobId, tasks: &BTreeSet<u32>) {
+    pub fn saved(&mut self, id: &JobId, tasks: &BTreeSet<u32>, failing: u32) {
         if let Some(job) = self.jobs.get_mut(id) {
+            job.failing_saved = failing;
             for i in tasks {
                 if job.done.contains(*i) {
                     job.unsaved.remove(i);
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -119,6 +119,7 @@
         self.lapse(now);
         self.note_known(now);
         self.mend_gangs(now);
+        self.clear_suspects(now);
         self.drain_noticed(now);
         self.move_replicas(now);
         let mut pass = self.look(now);
@@ -132,6 +133,7 @@
                     && (j.pending() > 0 || !j.booked.is_empty())
                     && !self.is_haunted(j, &pass.ghosts)
                     && now >= j.not_before
+                    && j.trust.may_try(now)
             })
             .map(|j| (j.rank(), j.request.id.clone()))
             .collect();
@@ -143,7 +145,8 @@
             };
             match job.request.shape {
                 Shape::Gang => self.start_gang(&mut pass, id),
-                Shape::Service | Shape::Array if job.due.is_none() => {
+                // A suspect job is booked nowhere: it would hold up others' forward runs.
+                Shape::Service | Shape::Array if job.due.is_none() || job.trust.is_suspect() => {
                     self.start_loose(&mut pass, id);
                 }
                 _ => {
--- a/crates/jasperhill-sched/src/plain.rs
+++ b/crates/jasperhill-sched/src/plain.rs
@@ -114,7 +114,7 @@
     let mut part = Partition::new(0, Revision(5), config, specs);
     let flags = (1, false, false, true);
     let filler = request("job-old", Shape::Array, 200, 0, flags, (30, None));
-    part.upsert_job(&Rc::new(filler), Revision(9), NOW, &[]);
+    part.upsert_job(&Rc::new(filler), Revision(9), NOW, &[], (0, NOW));
     let mut next = 0;
     for (n, (zone, spot, image, tasks, slow)) in s.hosts.iter().enumerate() {
         let id = HostId::new(&format!("n-{n:02}"));
@@ -168,7 +168,13 @@
         }
     }
     let submitted = NOW - Micros::from_secs(s.submitted_ago);
-    part.upsert_job(&Rc::new(s.request.clone()), Revision(9), submitted, &[]);
+    part.upsert_job(
+        &Rc::new(s.request.clone()),
+        Revision(9),
+        submitted,
+        &[],
+        (0, NOW),
+    );
     part
 }
 
--- a/crates/jasperhill-sched/src/suit.rs
+++ b/crates/jasperhill-sched/src/suit.rs
@@ -34,6 +34,15 @@
     delay.0 / 1_000 + slow + kind + breaks + tight as u64
 }
 
+/// A suspect job is tried where others succeed, so that the try tells something.
+pub(crate) fn unproved(job: &Job, host: &Host, now: Micros) -> u64 {
+    if job.trust.is_suspect() && !host.serves(&job.request.id, now) {
+        60_000
+    } else {
+        0
+    }
+}
+
 /// How many more tasks of a job each zone may hold, kept up to date while tasks start, so
 /// that the job's other tasks are looked up once and not for every host.
 #[derive(Clone, Debug)]
@@ -114,9 +123,7 @@
     pub(crate) fn suits(job: &Job, host: &Host) -> bool {
         job.request
             .allows_host(&host.spec.kind, &host.zone, host.spot)
-            && (job.failed_on.is_empty()
-                || job.failed_on.len() >= 3
-                || !job.failed_on.contains(&host.id))
+            && !job.trust.avoids(&host.id)
     }
 
     /// `behind_none`: only hosts where no admitted work waits.
@@ -127,7 +134,10 @@
             .filter(|(i, _, _)| pass.fits(*i, &r.id, &r.each))
             .filter(|(_, _, host)| !behind_none || host.queue.is_empty())
             .filter(|(_, _, host)| Self::suits(job, host))
-            .map(|(i, slot, host)| Reverse((cost(host, &slot.room, r, pass.now), i)))
+            .map(|(i, slot, host)| {
+                let cost = cost(host, &slot.room, r, pass.now) + unproved(job, host, pass.now);
+                Reverse((cost, i))
+            })
             .collect();
         Candidates { heap }
     }
@@ -196,6 +206,7 @@
         let Some(job) = self.jobs.get(id) else { return };
         let request = job.request.clone();
         let production = job.is_production();
+        let suspect = job.trust.is_suspect();
         if pass.is_hopeless(&request.each) && !production {
             return;
         }
@@ -208,6 +219,9 @@
             let Some(job) = self.jobs.get_mut(id) else {
                 return;
             };
+            if job.startable() == 0 {
+                return;
+            }
             let Some(i) = job.next_pending() else { return };
             let (pending, making) = (job.pending() as usize, job.making_room.len());
             if !self.limit_allows(pass, &request, 1) {
@@ -219,7 +233,7 @@
                 .map_or(Micros::MAX, |h| start_delay(h, &request, pass.now));
             // Production does not wait for an image where stopping lesser work elsewhere lets
             // it start at once; room is made for as many of its tasks as wait.
-            if production && wait > patience {
+            if production && wait > patience && !suspect {
                 if making >= pending {
                     return;
                 }
--- /dev/null
+++ b/crates/jasperhill-sched/src/trust.rs
@@ -0,0 +1,214 @@
+//! Whose fault a failure is. A host is blamed for what fails there and succeeds elsewhere; a job
+//! for failures on hosts that serve others. A job that fails wherever it runs was submitted with
+//! a mistake: it is *suspect*, tries one task at a time after growing pauses until its user
+//! cancels it, and its failures are not held against hosts. Every change goes through
+//! [`Trust::apply`].
+
+use jasperhill_wire::{HostId, Micros};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What makes a job suspect: failures on this many hosts without a success, where one that has
+/// served others lately counts double.
+const PROOF: u32 = 3;
+/// The first pause of a suspect job, and how often it doubles.
+const PAUSE: Micros = Micros::from_secs(4);
+const DOUBLINGS: u32 = 4;
+/// A try that has run for so many times as long as those that failed, and a bit more, did not
+/// fail for the same reason.
+const OUTLIVES: u64 = 3;
+const OUTLIVES_BY: Micros = Micros::from_secs(10);
+/// Hosts remembered.
+const HOSTS_MAX: usize = 256;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Trust {
+    /// A task of it has completed: whatever fails now is not the job's fault.
+    Proven,
+    /// Nothing speaks against it yet.
+    Sound,
+    /// It has failed on these hosts, each with its weight, and succeeded nowhere since.
+    Doubted(BTreeMap<HostId, u32>),
+    /// Its failures are its own. `level` counts the tries, the next one not before `next`;
+    /// `ran` is the longest that a failed task had run. `hosts` are absolved of its failures
+    /// for as long as it is suspect.
+    Suspect {
+        level: u32,
+        next: Micros,
+        ran: Micros,
+        hosts: BTreeSet<HostId>,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Input<'a> {
+    /// A task failed there after running for so long. `serves`: the host has served others.
+    Failed {
+        host: &'a HostId,
+        serves: bool,
+        ran: Micros,
+    },
+    /// A task has completed.
+    Succeeded,
+    /// A task has been running for so long.
+    Runs(Micros),
+}
+
+impl Trust {
+    /// As a record says: so many tries that failed, or none.
+    pub fn from_record(failing: u32, now: Micros) -> Self {
+        match failing.checked_sub(1) {
+            None => Self::Sound,
+            // One try, so that little is repeated after a takeover.
+            Some(level) => Self::Suspect {
+                level: level.min(DOUBLINGS),
+                next: now + Self::pause(level),
+                ran: Micros::ZERO,
+                hosts: BTreeSet::new(),
+            },
+        }
+    }
+
+    /// What the record says.
+    pub fn failing(&self) -> u32 {
+        match self {
+            Self::Suspect { level, .. } => level + 1,
+            _ => 0,
+        }
+    }
+
+    pub fn is_suspect(&self) -> bool {
+        matches!(self, Self::Suspect { .. })
+    }
+
+    /// It should not go there again.
+    pub fn avoids(&self, host: &HostId) -> bool {
+        matches!(self, Self::Doubted(hosts) if hosts.contains_key(host))
+    }
+
+    /// It may try now.
+    pub fn may_try(&self, now: Micros) -> bool {
+        !matches!(self, Self::Suspect { next, .. } if now < *next)
+    }
+
+    fn pause(level: u32) -> Micros {
+        Micros(PAUSE.0 << level.min(DOUBLINGS))
+    }
+
+    /// The one function that changes it.
+    pub fn apply(&mut self, input: Input<'_>, now: Micros) {
+        match (input, &mut *self) {
+            (Input::Succeeded, _) => *self = Self::Proven,
+            (Input::Failed { .. }, Self::Proven) => {}
+            (Input::Runs(time), Self::Suspect { ran, .. }) => {
+                if time >= Micros(ran.0.saturating_mul(OUTLIVES)) + OUTLIVES_BY {
+                    *self = Self::Sound;
+                }
+            }
+            (Input::Runs(_), _) => {}
+            (
+                Input::Failed { ran, host, .. },
+                Self::Suspect {
+                    level,
+                    next,
+                    ran: most,
+                    hosts,
+                },
+            ) => {
+                if hosts.len() < HOSTS_MAX {
+                    hosts.insert(host.clone());
+                }
+                *most = (*most).max(ran);
+                // What started before the pause fails after it began: one wave, one level.
+                if now >= *next {
+                    *level = (*level + 1).min(DOUBLINGS);
+                    *next = now + Self::pause(*level);
+                }
+            }
+            (Input::Failed { host, serves, ran }, Self::Sound | Self::Doubted(_)) => {
+                let mut hosts = match std::mem::replace(self, Self::Sound) {
+                    Self::Doubted(hosts) => hosts,
+                    _ => BTreeMap::new(),
+                };
+                let weight = hosts.entry(host.clone()).or_default();
+                *weight = (*weight).max(1 + u32::from(serves));
+                *self = if hosts.values().sum::<u32>() >= PROOF {
+                    Self::Suspect {
+                        level: 0,
+                        next: now + Self::pause(0),
+                        ran,
+                        hosts: hosts.into_keys().collect(),
+                    }
+                } else {
+                    Self::Doubted(hosts)
+                };
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn failed(host: &HostId, serves: bool) -> Input<'_> {
+        Input::Failed {
+            host,
+            serves,
+            ran: Micros::from_secs(1),
+        }
+    }
+
+    #[test]
+    fn a_wave_of_failures_is_one_try() {
+        let mut trust = Trust::Sound;
+        let mut now = Micros::from_secs(100);
+        for n in 0..250 {
+            trust.apply(failed(&HostId::new(&format!("n-{n}")), false), now);
+        }
+        assert_eq!(trust.failing(), 1);
+        // Each later try that fails doubles the pause, up to a bound.
+        let mut last = Micros::ZERO;
+        for _ in 0..8 {
+            let Trust::Suspect { next, .. } = trust else {
+                panic!("{trust:?}")
+            };
+            assert!(!trust.may_try(Micros(next.0 - 1)) && trust.may_try(next));
+            assert!(next - now >= last && next - now <= Micros::from_secs(64));
+            last = next - now;
+            now = next;
+            trust.apply(failed(&HostId::new("n-1"), false), now);
+        }
+        assert_eq!(last, Micros::from_secs(64));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+            failure_persistence: None,
+            ..ProptestConfig::default()
+        })]
+        /// A job is suspect only after failures on two hosts, and never after a success.
+        #[test]
+        fn no_job_is_suspected_for_one_host(steps in proptest::collection::vec((0u8..5, any::<bool>()), 0..60)) {
+            let mut trust = Trust::Sound;
+            let mut hosts = BTreeSet::new();
+            let mut proven = false;
+            for (at, (what, serves)) in steps.into_iter().enumerate() {
+                let now = Micros::from_secs(at as u64);
+                if what == 4 {
+                    trust.apply(Input::Succeeded, now);
+                    hosts.clear();
+                    proven = true;
+                } else {
+                    let host = HostId::new(&format!("n-{what}"));
+                    trust.apply(failed(&host, serves), now);
+                    hosts.insert(host);
+                }
+                prop_assert!(!trust.is_suspect() || hosts.len() >= 2);
+                prop_assert!(!trust.is_suspect() || !proven);
+                prop_assert!(trust.is_suspect() || proven || hosts.len() < 3);
+            }
+        }
+    }
+}
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -223,12 +223,14 @@
         Revision(3),
         NOW,
         &[],
+        (0, NOW),
     );
     part.upsert_job(
         &request("job-new", "array", 1, 1.0, None),
         Revision(6),
         NOW,
         &[],
+        (0, NOW),
     );
     part.on_report(&report("n-1", 1, 9, 5, vec![]), Source::Direct, NOW);
     part.pass(NOW);
@@ -254,7 +256,7 @@
     let mut flexible = (*request("job-flexible", "array", 1, 1.0, None)).clone();
     flexible.spot = true;
     for job in [steady, Rc::new(flexible)] {
-        part.upsert_job(&job, Revision(3), NOW, &[]);
+        part.upsert_job(&job, Revision(3), NOW, &[], (0, NOW));
     }
     part.on_report(&report("n-1", 1, 9, 5, vec![]), Source::Direct, NOW);
     part.pass(NOW);
@@ -270,12 +272,14 @@
         Revision(3),
         NOW,
         &[],
+        (0, NOW),
     );
     part.upsert_job(
         &request("job-new", "array", 4, 1.0, None),
         Revision(6),
         NOW,
         &[],
+        (0, NOW),
     );
     part.on_report(&report("n-1", 1, 9, 5, vec![]), Source::Direct, NOW);
     part.pass(NOW);
@@ -312,6 +316,7 @@
         Revision(6),
         NOW,
         &[],
+        (0, NOW),
     );
     part.pass(NOW);
     assert_eq!(live(&part, "job-1"), 2);
@@ -336,6 +341,7 @@
         Revision(6),
         NOW,
         &[],
+        (0, NOW),
     );
     part.pass(NOW);
     let orders = part.orders(&"n-1".into());
@@ -351,7 +357,13 @@
     let mut part = partition(2, false);
     for n in 0..2 {
         let id = format!("job-{n}");
-        part.upsert_job(&request(&id, "array", 1, 2.0, None), Revision(6), NOW, &[]);
+        part.upsert_job(
+            &request(&id, "array", 1, 2.0, None),
+            Revision(6),
+            NOW,
+            &[],
+            (0, NOW),
+        );
     }
     let host = HostId::new("n-1");
     let mut counter = 10;
@@ -375,12 +387,80 @@
         counter += 1;
         part.on_report(&report("n-1", 1, counter, 5, tasks), Source::Hello, now);
         let later = request(&format!("job-9{round}"), "array", 1, 2.0, None);
-        part.upsert_job(&later, Revision(6), now, &[]);
+        part.upsert_job(&later, Revision(6), now, &[], (0, NOW));
     }
     assert!(!part.hosts[&host].is_usable(NOW, &part.config));
     assert!(part.hosts[&HostId::new("n-2")].aside_until.is_none());
 }
 
+/// What a host says: all tasks that are on it have failed, or have completed.
+fn all_exit(part: &mut Partition, host: &str, counter: u64, cause: Cause, now: Micros) -> usize {
+    let exited = |(id, t): (&TaskId, &jasperhill_sched::host::HostTask)| TaskReport {
+        task: id.clone(),
+        attempt: t.attempt,
+        phase: TaskPhase::Exited(cause),
+    };
+    let on = part.hosts[&HostId::new(host)].tasks.iter();
+    let tasks: Vec<TaskReport> = on.filter(|(_, t)| t.is_on()).map(exited).collect();
+    let n = tasks.len();
+    part.on_report(&report(host, 1, counter, 5, tasks), Source::Hello, now);
+    n
+}
+
+/// Guards against arrays submitted with a mistake that set aside a large part of the fleet.
+#[test]
+fn an_array_that_fails_everywhere_sets_no_host_aside_and_tries_one_task_at_a_time() {
+    let mut part = partition(6, false);
+    let id = JobId::new("job-1");
+    part.upsert_job(
+        &request("job-1", "array", 40, 0.0, Some(500.0)),
+        Revision(6),
+        NOW,
+        &[],
+        (0, NOW),
+    );
+    part.pass(NOW);
+    assert_eq!(live(&part, "job-1"), 40, "all tasks run, on several hosts");
+    let mut failed = 0;
+    for n in 1..=6 {
+        failed += all_exit(&mut part, &format!("n-{n}"), 5, Cause::Error, NOW);
+    }
+    assert_eq!(failed, 40);
+    assert!(part.jobs[&id].trust.is_suspect());
+    assert!(part.hosts.values().all(|h| h.is_usable(NOW, &part.config)));
+    assert!(part.unsaved.contains(&id), "the suspicion is to be written");
+    // Nothing during the pause, one task after it, and the pause grows.
+    part.pass(NOW + Micros::from_secs(1));
+    assert_eq!(live(&part, "job-1"), 0);
+    let later = NOW + Micros::from_secs(5);
+    part.pass(later);
+    assert_eq!(live(&part, "job-1"), 1);
+    // The try completes: it was not the job, and the others are blamed after all.
+    let host = part.jobs[&id].live.values().next().unwrap().clone();
+    all_exit(&mut part, host.as_str(), 6, Cause::Done, later);
+    assert!(!part.jobs[&id].trust.is_suspect());
+    for h in part.hosts.values() {
+        assert_eq!(h.is_usable(later, &part.config), h.id == host);
+    }
+}
+
+/// What was learned before a takeover is not forgotten: one task is tried, not the array.
+#[test]
+fn a_suspect_job_is_still_suspect_after_a_takeover() {
+    let mut part = partition(6, false);
+    part.upsert_job(
+        &request("job-1", "array", 40, 0.0, None),
+        Revision(6),
+        NOW,
+        &[],
+        (1, NOW),
+    );
+    part.pass(NOW);
+    assert_eq!(live(&part, "job-1"), 0);
+    part.pass(NOW + Micros::from_secs(5));
+    assert_eq!(live(&part, "job-1"), 1);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Start(u32),
--- a/crates/jasperhill-wire/src/record.rs
+++ b/crates/jasperhill-wire/src/record.rs
@@ -91,6 +91,10 @@
     Cancelled,
 }
 
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
 /// One job. Final records shrink: `request` goes, the phase and counts stay for good.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -106,6 +110,9 @@
     /// Finished tasks: alternating lengths of unfinished and finished runs.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub finished: Vec<u32>,
+    /// The tries after which it failed wherever it ran; 0 if nothing speaks against it.
+    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    pub failing: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/jasperhill-wire/tests/formats.rs
+++ b/crates/jasperhill-wire/tests/formats.rs
@@ -163,7 +163,7 @@
     fn records_and_transactions_round_trip(request in request(), runs in proptest::collection::vec(any::<u32>(), 0..9)) {
         let record = JobRecord {
             phase: RecordPhase::Active, done_count: 3, request: Some(request),
-            submitted: Some(Micros(7)), finished: runs,
+            submitted: Some(Micros(7)), finished: runs, failing: 2,
         };
         let value = serde_json::to_value(&record).unwrap();
         prop_assert_eq!(serde_json::from_value::<JobRecord>(value.clone()).unwrap(), record);
