--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -6,6 +6,7 @@
     budget::Bucket,
     clock::Clock,
     cloud::Leader,
+    counts::Learned,
     hostbook::HostBook,
     keep::{Granted, Keeping},
     mirror::{self, Change, JobEntry, Mirror},
@@ -63,6 +64,7 @@
     pub writer: Writer,
     pub book: HostBook,
     pub keeping: Keeping,
+    pub learned: Learned,
     pub granted: Granted,
     /// Keepers whose asks have changed.
     pub asked: BTreeSet<Member>,
@@ -117,6 +119,7 @@
     pub wake_keep: Notify,
     pub wake_grant: Notify,
     pub wake_kept: Notify,
+    pub wake_counts: Notify,
 }
 
 /// One controller. Dropping it ends all that it does.
@@ -145,6 +148,7 @@
             writer: Writer::new(Bucket::new(writes, writes, now)),
             book: HostBook::default(),
             keeping: Keeping::default(),
+            learned: Learned::default(),
             granted: Granted::new(),
             asked: BTreeSet::new(),
             barrier: Vec::new(),
@@ -184,6 +188,7 @@
             wake_keep: Notify::new(),
             wake_grant: Notify::new(),
             wake_kept: Notify::new(),
+            wake_counts: Notify::new(),
         });
         inner.clone().spawn(inner.clone().mirror_loop());
         inner.clone().spawn(inner.clone().barrier_loop());
--- a/crates/jasperhill-control/src/lib.rs
+++ b/crates/jasperhill-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 mod cloud;
 pub mod controller;
+mod counts;
 mod hostbook;
 mod keep;
 mod mesh;
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -58,7 +58,7 @@
         }
         let answer = match decode::<MeshRequest>(&request.body) {
             Ok(MeshRequest::Admit(job)) => self.admit(*job).await,
-            Ok(MeshRequest::Counts(id)) => self.counts(&id),
+            Ok(MeshRequest::Counts(ids)) => self.counts(&ids),
             Ok(MeshRequest::Relay(report)) => {
                 let answer = self.relayed(report.as_bytes());
                 MeshAnswer::Relayed {
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -8,8 +8,8 @@
 use jasperhill_http::{Method, Request, Response};
 use jasperhill_sched::{Verdict, config::impossible};
 use jasperhill_wire::{
-    JobId, Micros, Revision,
-    mesh::{MeshAnswer, MeshRequest},
+    JobId, Member, Micros, Revision,
+    mesh::{Counts, MeshAnswer, MeshRequest},
     record::{JobRecord, RecordPhase, Role, job_key, role_key},
     user::{ErrorBody, JobAnswer, JobPhase, JobRequest, JobStatus},
 };
@@ -326,14 +326,7 @@
         let owner = self.other_owner(&id);
         let counts = async {
             match owner {
-                Some(address) => {
-                    self.ask(
-                        address,
-                        MeshRequest::Counts(id.clone()),
-                        Micros::from_millis(300),
-                    )
-                    .await
-                }
+                Some(owner) => self.counts_from(owner, &id).await,
                 None => None,
             }
         };
@@ -341,11 +334,9 @@
         if !fine {
             return later("state unknown");
         }
+        // The phase is the barrier's; counts are for display.
         match (self.known(&id), counts) {
-            (
-                Some((JobPhase::Pending, _, _, false)),
-                Some(MeshAnswer::Counts { running, done }),
-            ) => {
+            (Some((JobPhase::Pending, _, _, false)), Some(Counts { running, done })) => {
                 let phase = if running > 0 {
                     JobPhase::Running
                 } else {
@@ -358,21 +349,15 @@
         }
     }
 
-    /// Where the running tasks of an unfinished job can be asked for, if not here.
-    fn other_owner(&self, id: &JobId) -> Option<std::net::SocketAddr> {
+    /// Who runs an unfinished job, if somebody else does.
+    fn other_owner(&self, id: &JobId) -> Option<Member> {
         let state = self.state.borrow();
         let Some(JobEntry::Active(active)) = state.mirror.job(id) else {
             return None;
         };
         let p = self.partition_of(&active.request.team)?;
-        self.address_of(state.mirror.owner(Role::Partition(p))?)
-    }
-
-    pub fn counts(&self, id: &JobId) -> MeshAnswer {
-        match self.known(id) {
-            Some((_, done, running, _)) => MeshAnswer::Counts { running, done },
-            None => MeshAnswer::Unavailable,
-        }
+        let owner = state.mirror.owner(Role::Partition(p))?;
+        (owner != &self.settings.member).then(|| owner.clone())
     }
 
     async fn cancel(self: &Rc<Self>, id: &str) -> Response {
--- a/crates/jasperhill-wire/src/mesh.rs
+++ b/crates/jasperhill-wire/src/mesh.rs
@@ -3,7 +3,7 @@
 use crate::{JobId, user::JobRequest};
 use serde::{Deserialize, Serialize};
 
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// No message is longer.
 pub const MESSAGE_MAX: usize = 64 * 1024;
 
@@ -17,8 +17,8 @@
 pub enum MeshRequest {
     /// Run the admission test for this job and, if it passes, write its record.
     Admit(Box<JobRequest>),
-    /// Task counts for display.
-    Counts(JobId),
+    /// Task counts for display, of several jobs.
+    Counts(Vec<JobId>),
     /// The report of a worker that can't reach its owner, as it was sent.
     Relay(String),
     /// Whether the state service answers there.
@@ -29,6 +29,13 @@
     Unmet { partition: u32, thousandths: u32 },
 }
 
+/// How many tasks of a job run and are done, as its owner sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    pub running: u32,
+    pub done: u32,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MeshAnswer {
     /// The record is written.
@@ -39,10 +46,8 @@
         retry_after_s: u32,
     },
     Unavailable,
-    Counts {
-        running: u32,
-        done: u32,
-    },
+    /// In the order asked for; `None` for a job that the asked controller does not run.
+    Counts(Vec<Option<Counts>>),
     /// The owner's answer to a relayed report.
     Relayed {
         status: u16,
--- a/crates/jasperhill-wire/tests/formats.rs
+++ b/crates/jasperhill-wire/tests/formats.rs
@@ -2,7 +2,7 @@
 
 use jasperhill_wire::{
     Attempt, JobId, Micros, Name, Resources, Revision, TaskId, Token,
-    mesh::{MeshAnswer, MeshRequest, decode, encode},
+    mesh::{Counts, MeshAnswer, MeshRequest, decode, encode},
     record::{JobRecord, RecordPhase},
     state::{Change, Guard, Txn},
     user::{JobRequest, Priority, Shape},
@@ -142,12 +142,12 @@
     fn mesh_messages_round_trip(request in request(), body in "[ -~]{0,200}", running in any::<u32>()) {
         for message in [
             MeshRequest::Admit(Box::new(request.clone())),
-            MeshRequest::Counts(request.id.clone()),
+            MeshRequest::Counts(vec![request.id.clone()]),
             MeshRequest::Relay(body.clone()),
         ] {
             prop_assert_eq!(decode::<MeshRequest>(&encode(&message).unwrap()).unwrap(), message);
         }
-        let answer = MeshAnswer::Counts { running, done: 1 };
+        let answer = MeshAnswer::Counts(vec![None, Some(Counts { running, done: 1 })]);
         prop_assert_eq!(decode::<MeshAnswer>(&encode(&answer).unwrap()).unwrap(), answer);
     }
 
