A restarted controller recalls what has arrived lately

Cause: arrivals were counted from 15 s after a controller's start but taken for a rate since its start, so that too little was expected early, and nothing at all after a restart of the fleet's leader. Change: what was submitted within 15 s of the oldest job counts as gathered; a controller that begins replays the arrivals of the records; the rate is taken over the time in which it was counted.

--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -25,6 +25,7 @@
 use jasperhill_wire::{
     HostId, JobId, Member, Micros, Name, Revision,
     record::{RecordPhase, Role},
+    user::JobRequest,
     worker::Report,
 };
 use std::{
@@ -109,7 +110,6 @@
     pub split: BTreeMap<Name, u32>,
     pub members: Vec<Member>,
     pub clock: Clock,
-    pub started: Micros,
     net: Rc<dyn Transport>,
     pub state: RefCell<State>,
     pub wake_pass: Notify,
@@ -178,7 +178,6 @@
             sched,
             settings,
             clock,
-            started: now,
             net,
             state: RefCell::new(state),
             wake_pass: Notify::new(),
@@ -256,6 +255,7 @@
         let mut state = self.state.borrow_mut();
         let following = state.mirror.is_synced();
         let changes = state.mirror.apply(input);
+        let began = !following && state.mirror.is_synced();
         if changes.is_empty() {
             return;
         }
@@ -296,6 +296,9 @@
                 }
             }
         }
+        if began {
+            self.recall_arrivals(&mut state, now);
+        }
         drop(state);
         if roles {
             self.wake_roles.notify_one();
@@ -305,7 +308,32 @@
         }
     }
 
-    /// What had gathered before this controller came says nothing about what comes.
+    /// A controller that begins learns what has come lately from the records. Guards against a
+    /// fleet that shrinks when its leader has restarted and expects nothing any more.
+    fn recall_arrivals(&self, state: &mut State, now: Micros) {
+        let Some(specs) = state.specs.clone() else {
+            return;
+        };
+        let mut recent: Vec<(Micros, Rc<JobRequest>)> = state
+            .mirror
+            .active()
+            .map(|job| (self.clock.steady(job.submitted), job.request.clone()))
+            .collect();
+        recent.sort_by_key(|(at, _)| *at);
+        let Some((first, _)) = recent.first() else {
+            return;
+        };
+        state.arrivals = Arrivals::new(*first);
+        for (at, request) in recent {
+            if state.arrivals.counts(at)
+                && self.settings.waited_for.contains_key(&request.class)
+                && let Some(p) = self.partition_of(&request.team)
+            {
+                state.arrivals.note(p, &request, &specs, at.min(now));
+            }
+        }
+    }
+
     fn note_arrival(&self, state: &mut State, id: &JobId, now: Micros) {
         let State {
             mirror,
@@ -319,7 +347,8 @@
         if let Some(JobEntry::Active(job)) = mirror.job(id)
             && self.settings.waited_for.contains_key(&job.request.class)
             && job.finished.is_empty()
-            && now - self.started > Micros::from_secs(15)
+            && job.failing == 0
+            && arrivals.counts(now)
             && let Some(p) = self.partition_of(&job.request.team)
         {
             arrivals.note(p, &job.request, specs, now);
--- a/crates/jasperhill-sched/src/fleet.rs
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -114,6 +114,12 @@
     }
 }
 
+/// What has gathered before the start of a deployment says nothing about what comes; it is
+/// submitted within this time.
+const GATHERED: Micros = Micros::from_secs(15);
+/// Arrivals seen for less than this tell too little to be stretched to a rate.
+const SEEN_LEAST: Micros = Micros::from_secs(10);
+
 /// Arrivals of the classes whose starts are waited for, by partition. Tells how much room to
 /// keep free: what is expected to come while a machine boots, and its usual deviation.
 #[derive(Clone, Debug)]
@@ -123,13 +129,19 @@
 }
 
 impl Arrivals {
-    pub fn new(since: Micros) -> Self {
+    /// Counts from a little after `first`, when the oldest job that is known was submitted.
+    pub fn new(first: Micros) -> Self {
         Self {
-            since,
+            since: first + GATHERED,
             flows: BTreeMap::new(),
         }
     }
 
+    /// What came before this controller began, or nothing.
+    pub fn counts(&self, submitted: Micros) -> bool {
+        submitted >= self.since
+    }
+
     pub fn note(&mut self, partition: u32, request: &JobRequest, specs: &Specs, now: Micros) {
         let share = hosts_for(request, specs);
         let flow = self
@@ -143,7 +155,7 @@
 
     /// Room to keep free in a partition, in hosts.
     pub fn expected(&self, partition: u32, boot: Micros, now: Micros) -> f64 {
-        let seen = (now - self.since).as_secs_f64().max(30.0);
+        let seen = (now - self.since).max(SEEN_LEAST).as_secs_f64();
         let memory = MEMORY.as_secs_f64();
         let span = memory * (1.0 - (-seen / memory).exp());
         let (mut mean, mut variance) = (0.0, 0.0);
@@ -158,3 +170,44 @@
         mean + 2.0 * variance.sqrt()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::MachineSpec;
+    use jasperhill_wire::Resources;
+    use std::rc::Rc;
+
+    /// Guards against a rate that is stretched over time in which nothing was counted.
+    #[test]
+    fn what_had_gathered_does_not_count_and_what_comes_is_seen_soon() {
+        let text = r#"{"uid":"job-1","jobclass":"c","tenant":"red","shape":"ensemble","urgency":"urgent",
+            "shards":2,"vcpus":16.0,"accelerators":2.0,"memory_gb":1.0,"bundle":"i","size_gb":1.0,
+            "hosttypes":null,"hall":null,"together":false,"apart":false,"reclaimable":false,
+            "expected_s":10.0,"snapshot_every_s":0.0,"snapshot_s":0.0,"due_s":null}"#;
+        let request = JobRequest::parse(text.as_bytes()).unwrap();
+        let spec = MachineSpec {
+            kind: "box".into(),
+            capacity: Resources::from_units(16.0, 2.0, 64.0),
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            boot: Micros::from_secs(25),
+            price: 4.0,
+            spot_price: 2.0,
+            zones: vec!["a".into()],
+        };
+        let specs: Specs = BTreeMap::from([("box".into(), Rc::new(spec))]);
+        let first = Micros::from_secs(3_600);
+        let mut arrivals = Arrivals::new(first);
+        assert!(!arrivals.counts(first + Micros::from_secs(5)));
+        // Two hosts every five seconds, from when it counts.
+        for n in 0..4 {
+            let at = first + Micros::from_secs(15 + 5 * n);
+            assert!(arrivals.counts(at));
+            arrivals.note(0, &request, &specs, at);
+        }
+        let now = first + Micros::from_secs(35);
+        let expected = arrivals.expected(0, Micros::from_secs(25), now);
+        assert!((10.0..30.0).contains(&expected), "{expected}");
+    }
+}
