A worker's new session does not lapse with its old one; standstills in the cluster test

A worker's lease ran out while its owner stood still. The owner woke, learned of the new session by the answer to a direct order, and started a task there; a moment later it took the host for lapsed, counting from its last answer to the old session, and started the task elsewhere. The same could happen after a takeover, when a session is first learned of by /inspect. Ruled out: late answers to reports (dropped by workers), late direct orders (tokens and sessions). Change: a session that was not known counts its lease from when it is seen, in Host::on_report.

--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -469,6 +469,12 @@
             // A larger tenure proves that all earlier tasks are gone.
             self.drop_all(out);
         }
+        if self.tenure != Some(report.tenure) {
+            // The lease of a session that we did not know runs from its beginning, which may be
+            // long after our last answer. Guards against taking the new session for lapsed with
+            // the old one, while what was sent to it directly runs.
+            self.last_answer = self.last_answer.max(now);
+        }
         self.tenure = Some(report.tenure);
         self.counter = report.counter;
         self.last_heard = now;
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -170,6 +170,33 @@
     assert!(host.is_empty());
 }
 
+/// A worker's lease ran out while its owner stood still. The owner learns of the new session
+/// by a direct order and starts a task there: that must outlive the old session's lapse.
+#[test]
+fn a_new_session_does_not_lapse_with_the_old_one() {
+    let mut part = partition(1, false);
+    let id = HostId::new("n-1");
+    part.apply(&id, HostInput::Answered(&[]), NOW);
+    let lease = part.config.lapse();
+    let just_before = NOW + lease - Micros::from_millis(100);
+    part.on_report(&report("n-1", 2, 9, 5, vec![]), Source::Direct, just_before);
+    part.upsert_job(
+        &request("job-1", "array", 1, 1.0, None),
+        Revision(6),
+        NOW,
+        &[],
+        (0, NOW),
+    );
+    part.pass(just_before);
+    assert_eq!(live(&part, "job-1"), 1);
+    part.pass(NOW + lease + Micros::from_secs(1));
+    assert_eq!(part.hosts[&id].reach, Reach::Fenced);
+    assert_eq!(live(&part, "job-1"), 1);
+    // The new session lapses in its own time.
+    part.pass(just_before + lease + Micros::from_secs(1));
+    assert_eq!(part.hosts[&id].reach, Reach::Lapsed);
+}
+
 fn config() -> Rc<SchedConfig> {
     Rc::new(SchedConfig {
         partitions: 1,
--- a/crates/jasperhill-testkit/src/cloud.rs
+++ b/crates/jasperhill-testkit/src/cloud.rs
@@ -27,6 +27,8 @@
     answers: BTreeMap<String, Value>,
     next: usize,
     pub lag: Duration,
+    /// Machines come up at once, late, or never.
+    pub bad_boots: bool,
 }
 
 pub const CPUS: f64 = 16.0;
@@ -42,6 +44,7 @@
             answers: BTreeMap::new(),
             next: 0,
             lag,
+            bad_boots: false,
         }
     }
 
@@ -114,7 +117,15 @@
                     let zone = body["hall"].as_str().unwrap().to_owned();
                     let spot = body["reclaimable"].as_bool().unwrap();
                     let hosts: Vec<String> = (0..room)
-                        .map(|_| self.add(&zone, spot, now, Duration::from_secs(12 + pick(20))))
+                        .map(|_| {
+                            let boot = match (self.bad_boots, pick(20)) {
+                                (false, n) => 12 + n,
+                                (true, 0..6) => 1,
+                                (true, 6..14) => 90,
+                                (true, _) => 100_000,
+                            };
+                            self.add(&zone, spot, now, Duration::from_secs(boot))
+                        })
                         .collect();
                     let answer = json!({ "hosts": hosts });
                     self.answers.insert(name, answer.clone());
--- a/crates/jasperhill-testkit/src/faults.rs
+++ b/crates/jasperhill-testkit/src/faults.rs
@@ -24,6 +24,11 @@
     CloudOutage(Duration),
     /// A machine stops with all that is on it.
     Die,
+    /// The controller stands still while its clocks run on: nothing goes out or comes in, and
+    /// what was decided before goes out afterwards.
+    Freeze(usize, Duration),
+    /// Machines rented meanwhile come up at once, late, or never.
+    BadBoots(Duration),
 }
 
 #[derive(Default)]
@@ -32,6 +37,8 @@
     refused: Vec<(usize, Instant)>,
     pub state_until: Option<Instant>,
     pub cloud_until: Option<Instant>,
+    pub bad_boots_until: Option<Instant>,
+    frozen: Vec<(usize, Instant)>,
 }
 
 impl Faults {
@@ -41,6 +48,17 @@
     pub fn refuse(&mut self, node: usize, until: Instant) {
         self.refused.push((node, until));
     }
+    pub fn freeze(&mut self, node: usize, until: Instant) {
+        self.frozen.push((node, until));
+    }
+    /// Until when a controller stands still.
+    pub fn frozen_until(&self, node: usize, now: Instant) -> Option<Instant> {
+        self.frozen
+            .iter()
+            .filter(|(n, until)| *n == node && now < *until)
+            .map(|(_, until)| *until)
+            .max()
+    }
     /// Until when these two can't reach each other.
     pub fn cut_until(&self, a: &Place, b: &Place, now: Instant) -> Option<Instant> {
         self.cuts
--- a/crates/jasperhill-testkit/src/users.rs
+++ b/crates/jasperhill-testkit/src/users.rs
@@ -69,9 +69,36 @@
     })
 }
 
+fn array(id: String, class: &str, team: &str, tasks: u32, cpus: f64, run_s: f64) -> Value {
+    json!({
+        "uid": id, "jobclass": class, "tenant": team, "shape": "array", "urgency": "idle",
+        "shards": tasks, "vcpus": cpus, "accelerators": 0.0, "memory_gb": 0.5, "bundle": "img-9",
+        "size_gb": 0.5, "hosttypes": null, "hall": null, "together": false, "apart": false,
+        "reclaimable": true, "expected_s": run_s, "snapshot_every_s": 0.0, "snapshot_s": 0.0,
+        "due_s": null,
+    })
+}
+
+/// An array that fails on every machine.
+pub fn broken(number: usize) -> Value {
+    let team = format!("team-{}", number % 4);
+    array(
+        format!("job-{:06}", 500_000 + number),
+        "broken",
+        &team,
+        60,
+        1.0,
+        20.0,
+    )
+}
+
+/// A guest's huge array of short, tiny tasks.
+pub fn huge() -> Value {
+    array("job-600000".to_owned(), "tiny", "guest", 4_000, 0.25, 3.0)
+}
+
 /// One user's life with one job.
-pub async fn follow(world: Rc<World>, number: usize) {
-    let body = make(&world, number);
+pub async fn follow(world: Rc<World>, body: Value) {
     let request = JobRequest::parse(body.to_string().as_bytes()).unwrap();
     let id = request.id.to_string();
     world.inner.borrow_mut().jobs.insert(id.clone(), request);
@@ -90,8 +117,13 @@
         }
     }
     world.inner.borrow_mut().accepted += 1;
-    let cancel_at = (world.pick(3) == 0 || body["shape"] == "daemon")
-        .then(|| Instant::now() + Duration::from_secs(5 + world.pick(80)));
+    let class = body["jobclass"].as_str().unwrap_or_default();
+    let cancel_at = match class {
+        "tiny" => None,
+        "broken" => Some(Instant::now() + Duration::from_secs(120)),
+        _ => (world.pick(3) == 0 || body["shape"] == "daemon")
+            .then(|| Instant::now() + Duration::from_secs(5 + world.pick(80))),
+    };
     let (mut asked_to_cancel, mut told) = (false, "");
     loop {
         sleep(Duration::from_millis(3_000 + world.pick(4_000))).await;
--- a/crates/jasperhill-testkit/src/workers.rs
+++ b/crates/jasperhill-testkit/src/workers.rs
@@ -154,16 +154,17 @@
                         .tasks
                         .iter()
                         .any(|((t, _), x)| t == &task && !matches!(x.phase, Phase::Exited(_)));
-                    let gpus: u64 = self
+                    let (gpus, cpus) = self
                         .tasks
                         .iter()
                         .filter(|(_, x)| !matches!(x.phase, Phase::Exited(_)))
                         .filter_map(|((t, _), _)| jobs.get(t.job.as_str()))
-                        .map(|j| j.each.gpus)
-                        .sum();
+                        .fold((0, 0), |(g, c), j| (g + j.each.gpus, c + j.each.cpus));
                     let phase = if busy {
                         Phase::Exited("busy")
-                    } else if gpus + job.each.gpus > (crate::cloud::GPUS * 1e6) as u64 {
+                    } else if gpus + job.each.gpus > (crate::cloud::GPUS * 1e6) as u64
+                        || cpus + job.each.cpus > (crate::cloud::CPUS * 1e6) as u64
+                    {
                         Phase::Exited("no_room")
                     } else if self.images.contains(job.image.as_str()) {
                         Phase::Fetching(now)
@@ -224,6 +225,11 @@
             match before {
                 Phase::Fetching(until) if now >= until => {
                     self.images.insert(job.image.as_str().to_owned());
+                    if job.class.as_str() == "broken" {
+                        t.phase = Phase::Exited("error");
+                        self.changed = true;
+                        continue;
+                    }
                     started.push((task.clone(), *attempt));
                     t.phase = if rules.has_result(task) {
                         // The result is kept.
--- a/crates/jasperhill-testkit/src/world.rs
+++ b/crates/jasperhill-testkit/src/world.rs
@@ -29,6 +29,10 @@
     /// Troubles at set times.
     pub troubles: Vec<(u64, Trouble)>,
     pub scale: Scale,
+    /// Arrays that were submitted with a mistake: they fail on every machine.
+    pub broken: usize,
+    /// A team without a guarantee brings a huge array of short, tiny tasks.
+    pub guests: bool,
 }
 
 /// How large the deployment is.
@@ -125,6 +129,7 @@
             scale.gpu_limit()
         );
     }
+    text += "[[params.teams]]\nname='guest'\n";
     Settings::parse(&text).unwrap()
 }
 
@@ -153,6 +158,18 @@
         self.inner.borrow_mut().rules.breaks(what);
     }
 
+    /// Waits until a controller no longer stands still.
+    async fn thaw(&self, node: usize) {
+        loop {
+            let now = Instant::now();
+            let until = self.inner.borrow().faults.frozen_until(node, now);
+            match until {
+                Some(until) => sleep_until(until).await,
+                None => return,
+            }
+        }
+    }
+
     async fn latency(&self) {
         let ms = if self.pick(50) == 0 {
             300
@@ -188,6 +205,8 @@
         request: Request,
         limit: Duration,
     ) -> Result<Response, ClientError> {
+        // A standstill between the decision and its way out.
+        self.thaw(node).await;
         self.latency().await;
         let place = self.place(to);
         let now = Instant::now();
@@ -218,6 +237,7 @@
             sleep(limit * 2).await;
         }
         self.latency().await;
+        self.thaw(node).await;
         answer
     }
 
@@ -237,6 +257,7 @@
                 let Some((controller, life)) = found else {
                     return Err(ClientError::NotSent);
                 };
+                self.thaw(i).await;
                 let future = controller.handle_mesh(request);
                 drop(controller);
                 let answer = future.await;
@@ -255,8 +276,10 @@
                     cloud,
                     rng,
                     workers,
+                    faults,
                     ..
                 } = &mut *inner;
+                cloud.bad_boots = faults.bad_boots_until.is_some_and(|t| now < t);
                 let rng = RefCell::new(rng);
                 let (answer, gone) = cloud.serve(&request, now, |n| {
                     rng.borrow_mut().random_range(0..n.max(1))
@@ -320,21 +343,30 @@
     }
 
     /// A request of a user or worker to some controller.
-    async fn knock(&self, node: usize, request: Request) -> Option<Response> {
+    /// It is handled even if whoever sent it no longer waits.
+    async fn knock(self: &Rc<Self>, node: usize, request: Request) -> Option<Response> {
         self.latency().await;
-        let (future, life) = {
-            let inner = self.inner.borrow();
-            (
-                inner.nodes[node].as_ref()?.handle(request),
-                inner.lives[node],
-            )
-        };
-        let answer = timeout(Duration::from_secs(4), future).await.ok()?;
-        (self.inner.borrow().lives[node] == life).then_some(answer)
+        let (world, (reply, answer)) = (self.clone(), tokio::sync::oneshot::channel());
+        spawn_local(async move {
+            world.thaw(node).await;
+            let (future, life) = {
+                let inner = world.inner.borrow();
+                let Some(controller) = inner.nodes[node].as_ref() else {
+                    return;
+                };
+                (controller.handle(request), inner.lives[node])
+            };
+            let answer = future.await;
+            world.thaw(node).await;
+            if world.inner.borrow().lives[node] == life {
+                let _ = reply.send(answer);
+            }
+        });
+        timeout(Duration::from_secs(4), answer).await.ok()?.ok()
     }
 
     /// What a user gets, from any controller.
-    pub async fn ask(&self, request: &Request) -> Option<(u16, String)> {
+    pub async fn ask(self: &Rc<Self>, request: &Request) -> Option<(u16, String)> {
         let node = self.pick(NODES as u64) as usize;
         let answer = self.knock(node, request.clone()).await?;
         Some((answer.status, String::from_utf8(answer.body).unwrap()))
@@ -389,6 +421,10 @@
             Trouble::CloudOutage(time) => {
                 self.inner.borrow_mut().faults.cloud_until = Some(now + time);
             }
+            Trouble::Freeze(node, time) => self.inner.borrow_mut().faults.freeze(node, now + time),
+            Trouble::BadBoots(time) => {
+                self.inner.borrow_mut().faults.bad_boots_until = Some(now + time);
+            }
             Trouble::Die => {
                 let mut inner = self.inner.borrow_mut();
                 let ids: Vec<String> = inner.workers.keys().cloned().collect();
@@ -671,7 +707,17 @@
             let at = now + Duration::from_millis(world.pick(plan.seconds * 700));
             spawn_local(async move {
                 sleep_until(at).await;
-                users::follow(world, number).await;
+                let body = users::make(&world, number);
+                users::follow(world, body).await;
+            });
+        }
+        let extra = (0..plan.broken).map(users::broken);
+        let extra = extra.chain(plan.guests.then(users::huge));
+        for (n, body) in extra.enumerate() {
+            let world = world.clone();
+            spawn_local(async move {
+                sleep(Duration::from_secs(30 + 7 * n as u64)).await;
+                users::follow(world, body).await;
             });
         }
         let mut troubles = plan.troubles;
--- a/crates/jasperhill-testkit/tests/cluster.rs
+++ b/crates/jasperhill-testkit/tests/cluster.rs
@@ -21,6 +21,8 @@
         jobs: 60,
         troubles,
         scale: Scale::Small,
+        broken: 0,
+        guests: false,
     });
     assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
     // A run that does nothing would prove nothing.
@@ -115,6 +117,8 @@
             jobs: 60,
             troubles,
             scale: Scale::Small,
+            broken: 0,
+            guests: false,
         });
         assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
         assert!(outcome.started > 50, "seed {seed}: {outcome:?}");
@@ -169,9 +173,98 @@
         jobs: 120,
         troubles,
         scale: Scale::Large,
+        broken: 0,
+        guests: false,
     });
     assert_eq!(outcome.broken, Vec::<String>::new());
     assert!(outcome.accepted > 70, "{outcome:?}");
     assert!(outcome.started > 2_000, "{outcome:?}");
     assert!(outcome.most_at_once > 250, "{outcome:?}");
 }
+
+/// Standstills before, within and after a takeover, and silence in one direction: what was
+/// decided before goes out after.
+#[test]
+fn controllers_stand_still_and_go_on_as_if_nothing_had_happened() {
+    let zone = |z: &str| Place::Zone(z.to_owned());
+    for seed in 60..65 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut troubles = Vec::new();
+        for at in [45, 80, 120, 160, 200, 235] {
+            let node = rng.random_range(0..3);
+            let time = secs(rng.random_range(2..40));
+            troubles.push((at, Trouble::Freeze(node, time)));
+            troubles.push((at + 9, Trouble::Freeze((node + 1) % 3, time / 2)));
+            let side = zone(if rng.random() { "a" } else { "b" });
+            match rng.random_range(0..4) {
+                0 => troubles.push((at + 3, Trouble::Crash((node + 2) % 3, secs(6)))),
+                1 => troubles.push((at + 3, Trouble::Cut(Place::Node(node), side, secs(20)))),
+                2 => troubles.push((at + 12, Trouble::Refused((node + 1) % 3, secs(15)))),
+                _ => troubles.push((at + 5, Trouble::StateOutage(secs(8)))),
+            }
+        }
+        let outcome = run(Plan {
+            seed,
+            seconds: 300,
+            jobs: 60,
+            troubles,
+            scale: Scale::Small,
+            broken: 2,
+            guests: false,
+        });
+        assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(outcome.started > 50, "seed {seed}: {outcome:?}");
+    }
+}
+
+/// One controller loses its workers alone: the others pass their reports on, and no task is
+/// lost.
+#[test]
+fn a_controller_that_loses_its_workers_alone_keeps_their_tasks() {
+    let zone = |z: &str| Place::Zone(z.to_owned());
+    let mut killed = 0;
+    for seed in [70, 71] {
+        let troubles = ["a", "b"]
+            .map(|z| (100, Trouble::Cut(Place::Node(1), zone(z), secs(40))))
+            .to_vec();
+        killed += play(seed, troubles).killed;
+    }
+    assert_eq!(killed, 0);
+}
+
+#[test]
+fn machines_that_come_late_never_or_before_any_list() {
+    for seed in [80, 81] {
+        play(
+            seed,
+            vec![
+                (20, Trouble::BadBoots(secs(120))),
+                (70, Trouble::Crash(0, secs(6))),
+                (90, Trouble::Die),
+                (130, Trouble::Die),
+            ],
+        );
+    }
+}
+
+/// Arrays with a mistake beside a guest's huge array, across a restart of all controllers:
+/// nothing of it is run again in bulk, and the others are served.
+#[test]
+fn broken_arrays_and_a_guests_huge_one_across_restarts() {
+    let mut troubles: Vec<_> = (0..3).map(|n| (75, Trouble::Crash(n, secs(6)))).collect();
+    troubles.push((110, Trouble::Freeze(0, secs(20))));
+    let outcome = run(Plan {
+        seed: 90,
+        seconds: 300,
+        jobs: 60,
+        troubles,
+        scale: Scale::Small,
+        broken: 4,
+        guests: true,
+    });
+    assert_eq!(outcome.broken, Vec::<String>::new());
+    assert!(outcome.accepted >= 60, "{outcome:?}");
+    // Four thousand tasks of the guest, and little of it twice.
+    assert!((4_000..4_700).contains(&outcome.started), "{outcome:?}");
+    assert!(outcome.finished > 25, "{outcome:?}");
+}
