--- /dev/null
+++ b/crates/jasperhill-control/src/cloud/assigning.rs
@@ -0,0 +1,74 @@
+//! Who gets which free machine.
+
+use super::moved;
+use crate::{
+    controller::Inner,
+    hostbook::Edit,
+    store::{Urgency, Written},
+};
+use jasperhill_wire::{
+    Micros,
+    record::{HostUse, Role},
+};
+use std::rc::Rc;
+
+impl Inner {
+    /// Gives free hosts to partitions that are short, and condemns those nobody needs.
+    pub(super) fn assign_free(self: &Rc<Self>) {
+        let now = self.now();
+        let mut moves = Vec::new();
+        {
+            let mut guarded = self.state.borrow_mut();
+            let mut stocks = self.stocks(&guarded);
+            let state = &mut *guarded;
+            let Some(leader) = state.leader.as_mut() else {
+                return;
+            };
+            let free: Vec<_> = state
+                .mirror
+                .hosts
+                .iter()
+                .filter(|(_, k)| k.value.usage == HostUse::Free)
+                .map(|(id, k)| (id.clone(), k.clone()))
+                .collect();
+            leader
+                .free_since
+                .retain(|id, _| free.iter().any(|(f, _)| f == id));
+            for (id, kept) in free {
+                let since = *leader.free_since.entry(id.clone()).or_insert(now);
+                let short = (0..stocks.len()).max_by_key(|i| {
+                    let s = &stocks[*i];
+                    ((s.want_first - s.have).max(0), s.want - s.have)
+                });
+                let usage = match short {
+                    Some(p) if stocks[p].want > stocks[p].have => {
+                        stocks[p].have += 1;
+                        HostUse::Partition(p as u32)
+                    }
+                    _ if now - since > Micros::from_secs(5) => HostUse::Condemned(None),
+                    _ => continue,
+                };
+                if state.bumping.insert(id.clone()) {
+                    moves.push((id, kept, usage, leader.since));
+                }
+            }
+        }
+        for (id, kept, usage, since) in moves {
+            let inner = self.clone();
+            self.clone().spawn(async move {
+                let edit = Edit {
+                    urgency: Urgency::Finish,
+                    role: (Role::Leader, since),
+                    host: id.clone(),
+                    was: Some(kept.version),
+                    becomes: Some(moved(&kept, usage)),
+                    by: inner.now() + Micros::from_secs(3),
+                };
+                if let Written::Done(_) = inner.edit_host(kept.block, edit).await {
+                    tracing::info!(host = %id, ?usage, "host moved");
+                }
+                inner.state.borrow_mut().bumping.remove(&id);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-control/src/cloud/mod.rs
@@ -0,0 +1,175 @@
+//! The cloud: machine types, and the leader's rounds. What the machine list says, what is rented,
+//! who gets which machine and what is returned each have a module of their own.
+
+mod assigning;
+mod listing;
+mod renting;
+mod returning;
+mod stock;
+
+use crate::{
+    controller::Inner,
+    mirror::KeptHost,
+    store::{Urgency, guard, put},
+};
+use jasperhill_http::{Method, Request, Response};
+use jasperhill_sched::config::specs;
+use jasperhill_wire::{
+    HostId, Micros, Name, Revision,
+    cloud::{MachineTypes, RentRequest},
+    record::{HostRecord, HostUse, Role, TYPES_KEY, role_key},
+};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+pub(crate) struct Booting {
+    pub zone: Name,
+    pub spot: bool,
+    pub since: Micros,
+}
+
+/// What the leader of the fleet knows. Lost with the role; the machine list brings it back.
+pub(crate) struct Leader {
+    pub since: Revision,
+    pub(super) counter: u64,
+    pub booting: BTreeMap<HostId, Booting>,
+    /// When a machine was first seen in a list.
+    pub(super) listed: BTreeMap<HostId, Micros>,
+    /// No capacity there before.
+    pub(super) refused: BTreeMap<(Name, Name, bool), Micros>,
+    /// A rental whose answer is not known yet: asked again under the same name.
+    pub(super) rental: Option<RentRequest>,
+    pub(super) last_list: Micros,
+    pub(super) complete: bool,
+    pub(super) free_since: BTreeMap<HostId, Micros>,
+    /// Machines returned already, which the list may still show.
+    pub(super) returned: BTreeMap<HostId, Micros>,
+}
+
+/// The record with another use. Every edit raises the count, so that a record never looks
+/// as it did before: its new revision is always seen, and the host's token rises.
+fn moved(kept: &KeptHost, usage: HostUse) -> HostRecord {
+    HostRecord {
+        usage,
+        bump: kept.value.bump + 1,
+        ..kept.value.clone()
+    }
+}
+
+impl Leader {
+    pub fn new(since: Revision, now: Micros) -> Self {
+        Self {
+            since,
+            counter: 0,
+            booting: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            rental: None,
+            last_list: now - Micros::from_secs(3_000),
+            complete: false,
+            free_since: BTreeMap::new(),
+            returned: BTreeMap::new(),
+        }
+    }
+}
+
+impl Inner {
+    pub async fn cloud_loop(self: Rc<Self>) {
+        let mut types_at: Option<Micros> = None;
+        loop {
+            let now = self.now();
+            let (known, leads) = {
+                let state = self.state.borrow();
+                (state.specs.is_some(), state.leader.is_some())
+            };
+            let stale = types_at.is_none_or(|t| now - t > Micros::from_secs(120));
+            if (!known || (leads && stale)) && self.fetch_types().await {
+                types_at = Some(now);
+            }
+            if leads && self.has_authority() {
+                self.lead().await;
+            }
+            self.tell_unmet();
+            self.clone().give_up();
+            sleep(Duration::from_secs(1)).await;
+        }
+    }
+
+    pub(super) async fn cloud_call(
+        &self,
+        method: Method,
+        target: &str,
+        body: Vec<u8>,
+    ) -> Option<Response> {
+        loop {
+            let taken = self.state.borrow_mut().cloud.take(1.0, self.clock.now());
+            match taken {
+                Ok(()) => break,
+                Err(wait) => sleep(crate::controller::std_time(wait)).await,
+            }
+        }
+        let request = Request::new(method, target, body);
+        self.call(self.settings.cloud, request, Micros::from_secs(4))
+            .await
+            .ok()
+    }
+
+    pub(super) async fn fetch_types(&self) -> bool {
+        let Some(answer) = self
+            .cloud_call(Method::Get, "/machine_types", Vec::new())
+            .await
+        else {
+            return false;
+        };
+        if answer.status != 200 {
+            return false;
+        }
+        let types: MachineTypes = match serde_json::from_slice(&answer.body) {
+            Ok(types) => types,
+            Err(error) => {
+                tracing::warn!(%error, "machine types that are not understood");
+                return false;
+            }
+        };
+        let write = {
+            let mut state = self.state.borrow_mut();
+            state.specs = Some(Rc::new(specs(&types.types)));
+            let old = state.mirror.types.as_ref();
+            match (&state.leader, old) {
+                (Some(leader), None) if state.mirror.is_synced() => Some(leader.since),
+                _ => None,
+            }
+        };
+        self.wake_roles.notify_one();
+        if let Some(since) = write {
+            let guards = vec![
+                guard(role_key(Role::Leader), since),
+                guard(TYPES_KEY, Revision(0)),
+            ];
+            let change = put(TYPES_KEY, &types);
+            self.write(Urgency::Rest, guards, vec![change], Micros::from_secs(5))
+                .await;
+        }
+        true
+    }
+
+    /// One round of the leader: look, return, assign, rent.
+    pub(super) async fn lead(self: &Rc<Self>) {
+        let now = self.now();
+        let pause = self.settings.list_lag.scale(0.3).max(Micros::from_secs(2));
+        let due = {
+            let state = self.state.borrow();
+            state
+                .leader
+                .as_ref()
+                .is_some_and(|l| now - l.last_list >= pause)
+        };
+        if due {
+            self.look().await;
+        }
+        self.release().await;
+        self.assign_free();
+        self.rent().await;
+        self.tell_elastic();
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-control/src/cloud/returning.rs
@@ -0,0 +1,215 @@
+//! Giving up hosts that are not needed, lost or bad, and returning machines to the cloud.
+
+use super::moved;
+use crate::{
+    controller::Inner,
+    hostbook::Edit,
+    store::{Urgency, Written},
+};
+use jasperhill_http::Method;
+use jasperhill_sched::Reach;
+use jasperhill_wire::{
+    HostId, Micros, Revision,
+    cloud::HostNames,
+    record::{HostUse, Role},
+};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+/// Hosts of a partition emptied at a time, at most.
+const DRAIN_MAX: i64 = 32;
+
+impl Inner {
+    /// Returns what is condemned or never came into use. The record goes only when the
+    /// machine is gone for sure.
+    pub(super) async fn release(self: &Rc<Self>) {
+        let names: Vec<HostId> = {
+            let state = self.state.borrow();
+            let condemned = state
+                .mirror
+                .hosts
+                .iter()
+                .filter(|(_, k)| matches!(k.value.usage, HostUse::Condemned(_)))
+                .map(|(id, _)| id.clone());
+            state
+                .releasing
+                .iter()
+                .filter(|id| {
+                    state.mirror.hosts.get(*id).is_none_or(|k| {
+                        matches!(k.value.usage, HostUse::Condemned(_))
+                            || k.value.partition().is_some()
+                    })
+                })
+                .cloned()
+                .chain(condemned)
+                .collect::<BTreeSet<_>>()
+                .into_iter()
+                .take(100)
+                .collect()
+        };
+        if names.is_empty() || !self.has_authority() {
+            return;
+        }
+        let body = serde_json::to_vec(&HostNames {
+            hosts: names.clone(),
+        })
+        .unwrap_or_default();
+        let Some(answer) = self
+            .cloud_call(Method::Post, "/rentals/release", body)
+            .await
+        else {
+            return;
+        };
+        if answer.status != 200 {
+            return;
+        }
+        let mut deletes = Vec::new();
+        let now = self.now();
+        {
+            let mut state = self.state.borrow_mut();
+            for id in names {
+                tracing::info!(host = %id, "returned to the cloud");
+                state.releasing.remove(&id);
+                if let Some(leader) = state.leader.as_mut() {
+                    leader.returned.insert(id.clone(), now);
+                }
+                if let Some(kept) = state.mirror.hosts.get(&id) {
+                    deletes.push((id, kept.clone()));
+                }
+            }
+        }
+        for (id, kept) in deletes {
+            self.clone().spawn(self.clone().delete_host(id, kept));
+        }
+    }
+
+    /// Owners give up hosts that they do not need, and condemn those that are lost or bad.
+    /// The host is out of use here before the write, and back only by the record.
+    pub(super) fn give_up(self: Rc<Self>) {
+        let now = self.now();
+        let mut gifts = Vec::new();
+        {
+            let mut guarded = self.state.borrow_mut();
+            if !guarded.authority.holds(now) {
+                return;
+            }
+            let mut stocks = self.stocks(&guarded);
+            let state = &mut *guarded;
+            let short = stocks.iter().any(|s| s.want > s.have);
+            for (p, partition) in &mut state.partitions {
+                let Some(stock) = stocks.get_mut(*p as usize) else {
+                    continue;
+                };
+                let keep = if short {
+                    Micros::from_secs(1)
+                } else {
+                    self.settings.own.tuning.idle_keep
+                };
+                if stock.have > stock.want {
+                    // One by one would take too long where hundreds are too many.
+                    let most = ((stock.have - stock.want) / 4).clamp(1, DRAIN_MAX) as usize;
+                    let ordinary = stock.have_ordinary > stock.want_ordinary;
+                    partition.drain_some(now, ordinary, most);
+                }
+                let ids: Vec<HostId> = partition.hosts.keys().cloned().collect();
+                for id in ids {
+                    let Some(host) = partition.hosts.get(&id) else {
+                        continue;
+                    };
+                    if !matches!(host.usage, HostUse::Partition(_)) || state.bumping.contains(&id) {
+                        continue;
+                    }
+                    let lost = host.reach == Reach::Lapsed
+                        && now - host.last_answer > self.sched.lapse() + Micros::from_secs(30);
+                    let bad = host.is_empty() && (host.is_faulty(now) || host.slowness > 2.2);
+                    let spare = stock.have > stock.want
+                        && (host.spot || stock.have_ordinary > stock.want_ordinary)
+                        && partition.is_spare(&id, now, keep);
+                    let usage = if lost || (bad && host.reach == Reach::Fenced) {
+                        HostUse::Condemned(None)
+                    } else if spare && short {
+                        HostUse::Free
+                    } else if spare {
+                        // Nobody is short: it need not go by way of the leader.
+                        HostUse::Condemned(None)
+                    } else {
+                        continue;
+                    };
+                    let Some(kept) = state.mirror.hosts.get(&id) else {
+                        continue;
+                    };
+                    stock.have -= 1;
+                    stock.have_ordinary -= i64::from(!kept.value.spot);
+                    state.bumping.insert(id.clone());
+                    gifts.push((*p, partition.since, id.clone(), kept.clone(), usage));
+                    if let Some(host) = partition.hosts.get_mut(&id) {
+                        host.usage = usage;
+                    }
+                }
+            }
+        }
+        for (p, since, id, kept, usage) in gifts {
+            let inner = self.clone();
+            self.clone().spawn(async move {
+                let old = kept.value.usage;
+                let edit = Edit {
+                    urgency: Urgency::Rest,
+                    role: (Role::Partition(p), since),
+                    host: id.clone(),
+                    was: Some(kept.version),
+                    becomes: Some(moved(&kept, usage)),
+                    by: inner.now() + Micros::from_secs(5),
+                };
+                let done = inner.edit_host(kept.block, edit).await;
+                if let Written::Done(_) = done {
+                    tracing::info!(host = %id, ?usage, "host given up");
+                } else {
+                    inner.take_back(p, since, &id, old).await;
+                }
+                inner.state.borrow_mut().bumping.remove(&id);
+            });
+        }
+    }
+
+    /// After a gift that failed, or may still be carried out: the host is used again only
+    /// once its record has been rewritten, which kills the late write.
+    pub(super) async fn take_back(
+        self: &Rc<Self>,
+        p: u32,
+        since: Revision,
+        id: &HostId,
+        usage: HostUse,
+    ) {
+        loop {
+            sleep(Duration::from_millis(500)).await;
+            let kept = {
+                let state = self.state.borrow();
+                if state
+                    .partitions
+                    .get(&p)
+                    .is_none_or(|part| part.since != since)
+                {
+                    return;
+                }
+                state.mirror.hosts.get(id).cloned()
+            };
+            let Some(kept) = kept.filter(|k| k.value.usage == usage) else {
+                return;
+            };
+            let edit = Edit {
+                urgency: Urgency::Rest,
+                role: (Role::Partition(p), since),
+                host: id.clone(),
+                was: Some(kept.version),
+                becomes: Some(moved(&kept, usage)),
+                by: self.now() + Micros::from_secs(5),
+            };
+            match self.edit_host(kept.block, edit).await {
+                Written::Done(_) => return,
+                _ => {
+                    self.barrier().await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasperhill-control/src/cloud/stock.rs
@@ -0,0 +1,136 @@
+//! What every partition should have and has, by the records alone.
+
+use crate::controller::{Inner, State};
+use jasperhill_sched::fleet::{Demand, Need, plan};
+use jasperhill_wire::{Micros, Name, record::HostUse};
+use std::collections::BTreeMap;
+
+/// What a partition should have and has.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Stock {
+    pub want: i64,
+    pub want_ordinary: i64,
+    /// For production and urgent work alone.
+    pub want_first: i64,
+    pub have: i64,
+    pub have_ordinary: i64,
+}
+
+/// What the partitions lack, kept up to date while machines are given out.
+pub(crate) struct Needs {
+    stocks: Vec<Stock>,
+    /// Hosts of each partition in each zone.
+    here: BTreeMap<(u32, Name), i64>,
+}
+
+impl Needs {
+    /// The partition that a machine does the most good to: production and urgent work
+    /// first, then the greatest lack, then the one with the fewest hosts in that zone, so
+    /// that replicas can be spread.
+    pub fn neediest(&self, zone: &Name, spot: bool) -> u32 {
+        let here = |p: usize| {
+            self.here
+                .get(&(p as u32, zone.clone()))
+                .copied()
+                .unwrap_or(0)
+        };
+        (0..self.stocks.len())
+            .max_by_key(|i| {
+                let s = &self.stocks[*i];
+                let first = (s.want_first - s.have).max(0);
+                let ordinary = if spot {
+                    0
+                } else {
+                    (s.want_ordinary - s.have_ordinary).max(0)
+                };
+                let lack = (s.want - s.have).max(0);
+                (
+                    first,
+                    (lack > 0, -here(*i)),
+                    lack,
+                    ordinary,
+                    -s.have,
+                    std::cmp::Reverse(*i),
+                )
+            })
+            .unwrap_or(0) as u32
+    }
+
+    /// A machine of that kind was given to that partition.
+    pub fn given(&mut self, partition: u32, zone: &Name, spot: bool) {
+        if let Some(s) = self.stocks.get_mut(partition as usize) {
+            s.have += 1;
+            s.have_ordinary += i64::from(!spot);
+        }
+        *self.here.entry((partition, zone.clone())).or_default() += 1;
+    }
+}
+
+impl Inner {
+    /// What every partition should have and has, by the mirror alone.
+    pub(super) fn stocks(&self, state: &State) -> Vec<Stock> {
+        let Some(specs) = &state.specs else {
+            return Vec::new();
+        };
+        let wall = self.clock.wall();
+        let demands: Vec<Demand<'_>> = state
+            .mirror
+            .active()
+            // No machine is rented for what fails wherever it runs.
+            .filter(|job| job.failing == 0)
+            .filter_map(|job| {
+                Some(Demand {
+                    request: &job.request,
+                    partition: self.partition_of(&job.request.team)?,
+                    unfinished: job.request.tasks.saturating_sub(job.done_count),
+                    left: job.request.deadline.map(|d| (job.submitted + d) - wall),
+                })
+            })
+            .collect();
+        let head = 1.0 + self.settings.own.tuning.headroom;
+        let planned = |need: f64| need * head;
+        let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
+        let now = self.now();
+        let mut stocks: Vec<Stock> = plan(&demands, &self.sched, specs)
+            .iter()
+            .enumerate()
+            .map(|(p, need): (usize, &Need)| {
+                let expected = state.arrivals.expected(p as u32, boot, now);
+                let coming = expected
+                    + match state.unmet.get(&(p as u32)) {
+                        Some((hosts, at)) if now - *at < Micros::from_secs(8) => *hosts,
+                        _ => 0.0,
+                    };
+                Stock {
+                    want: (planned(need.total()) + coming + 0.5).ceil() as i64,
+                    want_ordinary: (planned(need.ordinary) + expected + 0.5).ceil() as i64,
+                    want_first: (planned(need.pressing) + 0.5).ceil() as i64,
+                    ..Stock::default()
+                }
+            })
+            .collect();
+        for kept in state.mirror.hosts.values() {
+            if let HostUse::Partition(p) = kept.value.usage
+                && let Some(stock) = stocks.get_mut(p as usize)
+            {
+                stock.have += 1;
+                stock.have_ordinary += i64::from(!kept.value.spot);
+            }
+        }
+        stocks
+    }
+
+    /// What the partitions lack, for giving machines to them.
+    pub fn needs(&self, state: &State) -> Needs {
+        let mut here: BTreeMap<(u32, Name), i64> = BTreeMap::new();
+        for kept in state.mirror.hosts.values() {
+            if let Some(p) = kept.value.partition() {
+                *here.entry((p, kept.value.zone.clone())).or_default() += 1;
+            }
+        }
+        Needs {
+            stocks: self.stocks(state),
+            here,
+        }
+    }
+}
