Boot times are learned: late machines are replaced, admission counts what will be there

Cause: a booting machine counted as supply for four times its nominal time, and the admission test took a fixed multiple of it for what could be rented. Ruled out: lists of up to twice the lag; deletions already wait for a list that is surely younger. Change: sched::boots keeps the boots seen lately by type and zone. Late machines no longer count as supply and are replaced, at most an eighth of the fleet; the leader tells the others after how long machines come up now.

--- a/crates/jasperhill-control/src/cloud/listing.rs
+++ b/crates/jasperhill-control/src/cloud/listing.rs
@@ -9,6 +9,7 @@
     store::{Urgency, Written},
 };
 use jasperhill_http::Method;
+use jasperhill_sched::boots::Boots;
 use jasperhill_wire::{
     HostId, Micros,
     cloud::{Machine, MachineList, MachinePhase},
@@ -97,13 +98,14 @@
                     MachinePhase::Failed => {
                         returns.insert(machine.id.clone());
                     }
-                    MachinePhase::Booting if age > boot.scale(4.0) + Micros::from_secs(20) => {
+                    MachinePhase::Booting if Boots::never_comes(boot, age) => {
                         tracing::info!(host = %machine.id, "never came up");
                         returns.insert(machine.id.clone());
                     }
                     MachinePhase::Booting => {
                         if !releasing.contains(&machine.id) {
                             leader.booting.entry(machine.id.clone()).or_insert(Booting {
+                                kind: machine.kind.clone(),
                                 zone: machine.zone.clone(),
                                 spot: machine.spot,
                                 since: now - age,
--- a/crates/jasperhill-control/src/cloud/mod.rs
+++ b/crates/jasperhill-control/src/cloud/mod.rs
@@ -13,7 +13,10 @@
     store::{Urgency, guard, put},
 };
 use jasperhill_http::{Method, Request, Response};
-use jasperhill_sched::config::specs;
+use jasperhill_sched::{
+    boots::{Boots, replaceable},
+    config::{Specs, specs},
+};
 use jasperhill_wire::{
     HostId, Micros, Name, Revision,
     cloud::{MachineTypes, RentRequest},
@@ -23,6 +26,7 @@
 use tokio::time::sleep;
 
 pub(crate) struct Booting {
+    pub kind: Name,
     pub zone: Name,
     pub spot: bool,
     pub since: Micros,
@@ -33,6 +37,8 @@
     pub since: Revision,
     pub(super) counter: u64,
     pub booting: BTreeMap<HostId, Booting>,
+    /// How long machines take to come up.
+    pub(super) boots: Boots,
     /// When a machine was first seen in a list.
     pub(super) listed: BTreeMap<HostId, Micros>,
     /// No capacity there before.
@@ -57,11 +63,40 @@
 }
 
 impl Leader {
+    /// A machine without a record reports: it is up.
+    pub fn came_up(&mut self, id: &HostId, now: Micros) {
+        if let Some(b) = self.booting.remove(id) {
+            self.boots.note(&b.kind, &b.zone, now - b.since, now);
+        }
+    }
+
+    /// The booting machines that count as supply: spot ones, and ordinary ones. Those that are
+    /// late do not, so that others are rented in their place; but no more than can be paid for
+    /// if all of them come after all.
+    pub(super) fn coming(&self, specs: &Specs, fleet: usize, now: Micros) -> (i64, i64) {
+        let (mut spot, mut ordinary, mut late) = (0, 0, 0);
+        for b in self.booting.values() {
+            let is_late = specs.get(&b.kind).is_some_and(|s| {
+                self.boots
+                    .is_late(&b.kind, &b.zone, s.boot, now - b.since, now)
+            });
+            if is_late && late < replaceable(fleet) {
+                late += 1;
+            } else if b.spot {
+                spot += 1;
+            } else {
+                ordinary += 1;
+            }
+        }
+        (spot, ordinary)
+    }
+
     pub fn new(since: Revision, now: Micros) -> Self {
         Self {
             since,
             counter: 0,
             booting: BTreeMap::new(),
+            boots: Boots::default(),
             listed: BTreeMap::new(),
             refused: BTreeMap::new(),
             rental: None,
--- a/crates/jasperhill-control/src/cloud/renting.rs
+++ b/crates/jasperhill-control/src/cloud/renting.rs
@@ -54,7 +54,7 @@
     /// Tells the others how many machines can still be had, for their admission tests.
     pub(super) fn tell_elastic(self: &Rc<Self>) {
         let now = self.now();
-        let machines = {
+        let (machines, ready) = {
             let mut guarded = self.state.borrow_mut();
             let state = &mut *guarded;
             let (Some(leader), Some(specs)) = (&state.leader, &state.specs) else {
@@ -71,9 +71,17 @@
                 .count();
             // How many a place still has is not known: some in proportion to the fleet.
             let each = (state.mirror.hosts.len() / 20).max(3);
-            let machines = (leader.booting.len() + each * open) as u32;
-            state.elastic = Some((machines, now));
-            machines
+            // The admission test counts only what will truly be there.
+            let (spot, ordinary) = leader.coming(specs, state.mirror.hosts.len(), now);
+            let machines = (spot + ordinary) as u32 + (each * open) as u32;
+            let ready = specs
+                .values()
+                .flat_map(|s| s.zones.iter().map(move |z| (s, z)))
+                .map(|(s, z)| leader.boots.usual(&s.kind, z, s.boot, now))
+                .max()
+                .unwrap_or_default();
+            state.elastic = Some((machines, ready, now));
+            (machines, ready)
         };
         for peer in &self.settings.peers {
             let (inner, address) = (self.clone(), peer.address);
@@ -81,7 +89,7 @@
                 inner
                     .ask(
                         address,
-                        MeshRequest::Elastic(machines),
+                        MeshRequest::Elastic { machines, ready },
                         Micros::from_secs(1),
                     )
                     .await;
@@ -109,9 +117,8 @@
             .values()
             .filter(|k| k.value.usage == HostUse::Free)
             .count();
-        let booting = leader.booting.len() as i64 + free as i64;
-        let booting_spot = leader.booting.values().filter(|b| b.spot).count() as i64;
-        let booting_ordinary = leader.booting.len() as i64 - booting_spot;
+        let (booting_spot, booting_ordinary) = leader.coming(&specs, state.mirror.hosts.len(), now);
+        let booting = booting_spot + booting_ordinary + free as i64;
         let sum = |f: &dyn Fn(&Stock) -> i64| stocks.iter().map(|s| f(s).max(0)).sum::<i64>();
         let short = sum(&|s| s.want - s.have) - booting;
         let short_ordinary = sum(&|s| s.want_ordinary - s.have_ordinary) - booting_ordinary;
@@ -201,6 +208,7 @@
                     }
                     for id in hosts {
                         let booting = Booting {
+                            kind: rental.kind.clone(),
                             zone: rental.zone.clone(),
                             spot: rental.spot,
                             since: now,
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -94,8 +94,8 @@
     pub arrivals: Arrivals,
     /// The state service answers others, but not this controller.
     pub alone: bool,
-    /// How many more machines can be had soon, as the leader last said.
-    pub elastic: Option<(u32, Micros)>,
+    /// How many more machines can be had, after how long, as the leader last said, and when.
+    pub elastic: Option<(u32, Micros, Micros)>,
     /// When workers were last sent to their owners.
     pub redirected: BTreeMap<HostId, Micros>,
     /// Workers whose reports come by way of another controller: when they were last tried
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -66,8 +66,8 @@
                     body: String::from_utf8(answer.body).unwrap_or_default(),
                 }
             }
-            Ok(MeshRequest::Elastic(machines)) => {
-                self.state.borrow_mut().elastic = Some((machines, self.now()));
+            Ok(MeshRequest::Elastic { machines, ready }) => {
+                self.state.borrow_mut().elastic = Some((machines, ready, self.now()));
                 MeshAnswer::Noted
             }
             Ok(MeshRequest::Unmet {
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -258,11 +258,13 @@
                 return MeshAnswer::Unavailable;
             };
             // Shared by the partitions; a guess where the leader has not spoken lately.
-            let more = match state.elastic {
-                Some((n, at)) if now - at < Micros::from_secs(10) => n.div_ceil(self.settings.size),
-                _ => 1,
-            };
             let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
+            let elastic = match state.elastic {
+                Some((n, ready, at)) if now - at < Micros::from_secs(10) => {
+                    (n.div_ceil(self.settings.size), ready)
+                }
+                _ => (1, boot.scale(1.3)),
+            };
             let Some(partition) = state.partitions.get(&p) else {
                 return MeshAnswer::Unavailable;
             };
@@ -272,7 +274,7 @@
                     .retain(|_, r| now - r.last < Micros::from_secs(40));
             }
             let asked = state.first_asked.get(&request.id).map_or(now, |r| r.first);
-            let verdict = partition.admit(&request, asked, now, (more, boot.scale(1.3)));
+            let verdict = partition.admit(&request, asked, now, elastic);
             if verdict == Verdict::Admit {
                 state.first_asked.remove(&request.id);
             } else if state.first_asked.len() <= ASKED_MAX {
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -241,7 +241,7 @@
             let mut edits = Vec::new();
             if let Some(leader) = state.leader.as_mut() {
                 for report in &newcomers {
-                    leader.booting.remove(&report.host);
+                    leader.came_up(&report.host, self.now());
                     let partition = needs.neediest(&report.zone, report.spot);
                     needs.given(partition, &report.zone, report.spot);
                     let record = HostRecord {
--- a/crates/jasperhill-sched/src/lib.rs
+++ b/crates/jasperhill-sched/src/lib.rs
@@ -3,6 +3,7 @@
 //! does I/O.
 
 pub mod book;
+pub mod boots;
 pub mod config;
 pub mod done;
 pub mod drain;
--- a/crates/jasperhill-wire/src/mesh.rs
+++ b/crates/jasperhill-wire/src/mesh.rs
@@ -1,6 +1,6 @@
 //! What controllers say to one another, in CBOR. Versioned and bounded.
 
-use crate::{JobId, user::JobRequest};
+use crate::{JobId, Micros, user::JobRequest};
 use serde::{Deserialize, Serialize};
 
 pub const VERSION: u16 = 2;
@@ -23,8 +23,8 @@
     Relay(String),
     /// Whether the state service answers there.
     IsFresh,
-    /// From the leader: how many more machines can be had soon.
-    Elastic(u32),
+    /// From the leader: how many more machines can be had soon, and after how long.
+    Elastic { machines: u32, ready: Micros },
     /// From an owner: the hosts that refused jobs would need, in thousandths.
     Unmet { partition: u32, thousandths: u32 },
 }
