--- a/crates/jasperhill-sched/src/config.rs
+++ b/crates/jasperhill-sched/src/config.rs
@@ -18,10 +18,6 @@
     pub fn allows(&self, used: &Resources) -> bool {
         Self::within(used, &self.most)
     }
-    /// All that is guaranteed is in use: what goes beyond this is borrowed.
-    pub fn covers(&self, used: &Resources) -> bool {
-        used.cpus >= self.guaranteed.cpus && used.gpus >= self.guaranteed.gpus
-    }
     pub fn guarantees(&self, used: &Resources) -> bool {
         (self.guaranteed.cpus > 0 || self.guaranteed.gpus > 0)
             && Self::within(used, &self.guaranteed)
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -31,8 +31,6 @@
     pub slots: Vec<Slot>,
     /// What teams may be using unseen.
     haunted: BTreeMap<Name, Resources>,
-    /// What teams have been told to give back in this pass.
-    given_back: BTreeMap<Name, Resources>,
     /// Amounts for which no host has room. Room only shrinks during a pass, so these stay
     /// true: what waits behind a full fleet costs one comparison, not a look at every host.
     hopeless: Vec<Resources>,
@@ -65,21 +63,6 @@
         }
         none
     }
-    pub fn haunted(&self, team: &Name) -> Resources {
-        self.haunted.get(team).copied().unwrap_or_default()
-    }
-    pub fn given_back(&self, team: &Name) -> Resources {
-        self.given_back.get(team).copied().unwrap_or_default()
-    }
-    /// A task of that job was told to make way; a gang goes whole.
-    pub fn give_back(&mut self, request: &JobRequest) {
-        let size = if request.shape == Shape::Gang {
-            u64::from(request.tasks)
-        } else {
-            1
-        };
-        *self.given_back.entry(request.team.clone()).or_default() += request.each.times(size);
-    }
     pub fn usable(&self) -> usize {
         self.slots.iter().filter(|s| s.usable).count()
     }
@@ -113,7 +96,6 @@
             ghosts,
             slots,
             haunted,
-            given_back: BTreeMap::new(),
             hopeless: Vec::new(),
             reserving: (0, 0),
         }
--- a/crates/jasperhill-sched/src/room.rs
+++ b/crates/jasperhill-sched/src/room.rs
@@ -6,10 +6,7 @@
     pass::Pass,
     suit::{ZoneRooms, start_delay},
 };
-use jasperhill_wire::{
-    HostId, JobId, Micros, Name, Resources, TaskId,
-    user::{JobRequest, Priority, Shape},
-};
+use jasperhill_wire::{HostId, JobId, Micros, Name, Resources, TaskId, user::Priority};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long after the last victim must be gone room that was made is waited for.
@@ -33,44 +30,9 @@
 }
 
 impl Partition {
-    /// The team stays within its guarantee with these tasks more.
-    pub(crate) fn is_entitled(&self, pass: &Pass, request: &JobRequest) -> bool {
-        let used = self.used.get(&request.team).copied().unwrap_or_default();
-        let unseen = pass.haunted(&request.team);
-        let with = used + unseen + request.each.times(u64::from(request.tasks));
-        self.config
-            .team(&request.team)
-            .is_some_and(|t| t.guarantees(&with))
-    }
-
-    /// The team would still have its guarantee without these tasks, so that they are borrowed.
-    fn is_borrowed(&self, pass: &Pass, request: &JobRequest) -> bool {
-        let Some(team) = self.config.team(&request.team) else {
-            return true;
-        };
-        let size = if request.shape == Shape::Gang {
-            u64::from(request.tasks)
-        } else {
-            1
-        };
-        let mut left = self.used.get(&request.team).copied().unwrap_or_default();
-        left -= request.each.times(size);
-        left -= pass.given_back(&request.team);
-        team.covers(&left)
-    }
-
-    /// What could be stopped on a host for a job, the least loss first: work of lower priority,
-    /// and, for a team within its guarantee, what others have borrowed.
+    /// What could be stopped on a host for work of this priority, the least loss first.
     /// `whole`: also gangs of several tasks, which are stopped whole.
-    fn victims(
-        &self,
-        pass: &Pass,
-        host: &Host,
-        request: &JobRequest,
-        whole: bool,
-        entitled: bool,
-    ) -> Vec<Victim> {
-        let (than, now) = (request.priority, pass.now);
+    fn victims(&self, host: &Host, than: Priority, whole: bool, now: Micros) -> Vec<Victim> {
         let mut victims: Vec<Victim> = host
             .tasks
             .iter()
@@ -84,25 +46,14 @@
                     1
                 };
                 let lower = other.request.priority > than && !other.is_service();
-                // Borrowed work is given back, but not before it has come to something.
-                let borrowed = entitled
-                    && other.request.priority >= than
-                    && !other.is_service()
-                    && other.request.team != request.team
-                    && t.running.is_some_and(|r| now - r > FRESH)
-                    && self.is_borrowed(pass, &other.request);
-                ((lower || borrowed) && (whole || size == 1)).then(|| {
+                (lower && (whole || size == 1)).then(|| {
                     let (lost, grace) = if other.checkpoints() {
                         (other.request.save, other.request.save)
                     } else {
                         (now - t.running.unwrap_or(now), Micros::ZERO)
                     };
                     // The least important goes first; a start undone so soon was for nothing.
-                    let rank = match other.request.priority {
-                        Priority::Low => 0,
-                        Priority::Normal => 1,
-                        _ => 2,
-                    };
+                    let rank = u64::from(other.request.priority == Priority::Normal);
                     let fresh = t.running.is_none_or(|r| now - r < FRESH);
                     let lost = lost
                         + Micros(MORE_IMPORTANT.0 * rank)
@@ -183,7 +134,7 @@
             }
             let (mut free, mut chosen, mut loss) = (slot.room, Vec::new(), Micros::ZERO);
             let mut grace = Micros::ZERO;
-            for victim in self.victims(pass, host, &request, false, false) {
+            for victim in self.victims(host, request.priority, false, pass.now) {
                 if request.each.fits(&free) {
                     break;
                 }
@@ -236,7 +187,6 @@
             grace: Micros,
         }
         let mut by_zone: BTreeMap<Name, Vec<Seat>> = BTreeMap::new();
-        let entitled = self.is_entitled(pass, &request);
         for (at, slot, host) in self.with_slots(pass) {
             if !slot.usable
                 || slot.reserved.as_ref().is_some_and(|j| j != id)
@@ -266,7 +216,7 @@
                 });
             }
             let (mut go, mut loss, mut grace) = (Vec::new(), 0, Micros::ZERO);
-            for victim in self.victims(pass, host, &request, true, entitled) {
+            for victim in self.victims(host, request.priority, true, pass.now) {
                 if found >= request.tasks {
                     break;
                 }
@@ -311,14 +261,6 @@
         let hosts: BTreeSet<usize> = chosen.iter().map(|s| s.at).collect();
         for seat in &chosen {
             let host = pass.slots[seat.at].id.clone();
-            for other in seat
-                .victims
-                .iter()
-                .filter_map(|t| self.jobs.get(&t.job))
-                .filter(|j| j.request.priority == request.priority)
-            {
-                pass.give_back(&other.request);
-            }
             self.stop_victims(&host, &seat.victims, "room for a gang", pass.now);
         }
         let hosts: Vec<HostId> = hosts.iter().map(|at| pass.slots[*at].id.clone()).collect();
