A standstill is noticed, and what queued up in it is answered at once; readiness sooner

Ruled out: damage by it; no rule was broken and no task lost to a lease before either. Change: control::pulse notices gaps in what happens here (logged as 'stood still') and answers what is taken up in the 20 ms after one with 503; renewals that fail for 2 s, while others are answered, take a controller off the balancer in the second round of asking.

--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -11,6 +11,7 @@
     keep::{Granted, Keeping},
     mirror::{self, Change, JobEntry, Mirror},
     net::Transport,
+    pulse::{self, Pulse},
     settings::Settings,
     store::Writer,
 };
@@ -94,6 +95,7 @@
     pub arrivals: Arrivals,
     /// The state service answers others, but not this controller.
     pub alone: bool,
+    pub pulse: Pulse,
     /// How many more machines can be had, after how long, as the leader last said, and when.
     pub elastic: Option<(u32, Micros, Micros)>,
     /// When workers were last sent to their owners.
@@ -167,6 +169,7 @@
             unmet: BTreeMap::new(),
             arrivals: Arrivals::new(now),
             alone: false,
+            pulse: Pulse::new(now),
             elastic: None,
             redirected: BTreeMap::new(),
             probes: BTreeMap::new(),
@@ -226,6 +229,17 @@
         state.tasks.spawn_local(task);
     }
 
+    /// Something happens: a standstill before it is noticed. True if what is taken up now has
+    /// queued up in one.
+    pub fn beat(&self) -> bool {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if let Some(gap) = state.pulse.apply(pulse::Input::Beat, now) {
+            tracing::warn!(for_s = gap.as_secs_f64(), "stood still");
+        }
+        state.pulse.is_stale(now)
+    }
+
     pub async fn call(
         &self,
         to: SocketAddr,
@@ -413,6 +427,7 @@
             }
             // In a large deployment something changes all the time: the tick comes all the
             // same, or hosts that did not answer after a takeover were never asked again.
+            self.beat();
             let now = self.now();
             let tick = now - ticked >= Micros::from_secs(1);
             if tick {
@@ -509,6 +524,11 @@
         let sent = self.now();
         let answer = self.lease_renew(lease).await;
         let ttl = self.state.borrow().authority.ttl();
+        let heard = match answer {
+            Some(_) => pulse::Input::Answered,
+            None => pulse::Input::Unanswered { sent },
+        };
+        self.state.borrow_mut().pulse.apply(heard, self.now());
         match answer {
             Some(true) => {
                 self.state
--- a/crates/jasperhill-control/src/lib.rs
+++ b/crates/jasperhill-control/src/lib.rs
@@ -13,6 +13,7 @@
 mod mesh;
 pub mod mirror;
 pub mod net;
+pub mod pulse;
 mod roles;
 pub mod settings;
 mod store;
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -12,12 +12,21 @@
 pub(crate) const FRESH: Micros = Micros::from_secs(6);
 
 impl Inner {
+    /// The state service has answered this controller lately.
+    fn is_served(&self) -> bool {
+        let now = self.now();
+        let state = self.state.borrow();
+        now - state.authority.fresh() < FRESH && !state.pulse.is_unanswered(now)
+    }
+
     /// Looks around while the state service is silent: if it answers the others, users are
-    /// better served there; if nobody gets an answer, there is no better place to go.
+    /// better served there; if nobody gets an answer, there is no better place to go. Twice in
+    /// a row, since the others may notice an outage a little later.
     pub async fn outage_loop(self: Rc<Self>) {
+        let mut rounds = 0u32;
         loop {
             tokio::time::sleep(std::time::Duration::from_secs(1)).await;
-            let stale = self.now() - self.state.borrow().authority.fresh() >= FRESH;
+            let stale = !self.is_served();
             let mut alone = stale && !self.settings.peers.is_empty();
             if stale {
                 for peer in &self.settings.peers {
@@ -34,7 +43,8 @@
                     }
                 }
             }
-            self.state.borrow_mut().alone = alone;
+            rounds = if alone { rounds + 1 } else { 0 };
+            self.state.borrow_mut().alone = rounds >= 2;
         }
     }
 
@@ -56,6 +66,9 @@
         if request.method != Method::Post || request.path() != "/mesh" {
             return Response::new(404, Vec::new());
         }
+        if self.beat() {
+            return Response::new(503, Vec::new());
+        }
         let answer = match decode::<MeshRequest>(&request.body) {
             Ok(MeshRequest::Admit(job)) => self.admit(*job).await,
             Ok(MeshRequest::Counts(ids)) => self.counts(&ids),
@@ -80,10 +93,7 @@
                 }
                 MeshAnswer::Noted
             }
-            Ok(MeshRequest::IsFresh) => {
-                let now = self.now();
-                MeshAnswer::Fresh(now - self.state.borrow().authority.fresh() < FRESH)
-            }
+            Ok(MeshRequest::IsFresh) => MeshAnswer::Fresh(self.is_served()),
             Err(error) => {
                 tracing::warn!(%error, "a mesh message that is not understood");
                 return Response::new(400, Vec::new());
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -56,6 +56,11 @@
 impl Inner {
     pub async fn serve(self: Rc<Self>, request: Request) -> Response {
         let path = request.path().to_owned();
+        if self.beat() && path != "/ready" {
+            // Guards against working off what queued up while the process stood still: users
+            // and workers have given up on it and ask elsewhere.
+            return later("stood still");
+        }
         match (request.method, path.as_str()) {
             (Method::Post, "/hello") => self.hello(&request.body).await,
             (_, "/hello") => error(405, "only POST").allow("POST"),
