--- a/crates/jasperhill-sched/src/room.rs
+++ b/crates/jasperhill-sched/src/room.rs
@@ -6,10 +6,7 @@
     pass::Pass,
     suit::{ZoneRooms, start_delay},
 };
-use jasperhill_wire::{
-    HostId, JobId, Micros, Name, Resources, TaskId,
-    user::{JobRequest, Priority},
-};
+use jasperhill_wire::{HostId, JobId, Micros, Name, Resources, TaskId, user::Priority};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long after the last victim must be gone room that was made is waited for.
@@ -33,16 +30,6 @@
 }
 
 impl Partition {
-    /// Low work of a team without a guarantee gets what others leave: it makes way at once, for
-    /// the loss of what it did since its last checkpoint.
-    fn is_leftover(&self, request: &JobRequest) -> bool {
-        request.priority == Priority::Low
-            && self
-                .config
-                .team(&request.team)
-                .is_none_or(|t| t.guaranteed.cpus == 0 && t.guaranteed.gpus == 0)
-    }
-
     /// What could be stopped on a host for work of this priority, the least loss first.
     /// `whole`: also gangs of several tasks, which are stopped whole.
     fn victims(&self, host: &Host, than: Priority, whole: bool, now: Micros) -> Vec<Victim> {
@@ -60,13 +47,10 @@
                 };
                 let lower = other.request.priority > than && !other.is_service();
                 (lower && (whole || size == 1)).then(|| {
-                    let ran = now - t.running.unwrap_or(now);
-                    let (lost, grace) = if self.is_leftover(&other.request) {
-                        (ran.min(other.request.checkpoint_every), Micros::ZERO)
-                    } else if other.checkpoints() {
+                    let (lost, grace) = if other.checkpoints() {
                         (other.request.save, other.request.save)
                     } else {
-                        (ran, Micros::ZERO)
+                        (now - t.running.unwrap_or(now), Micros::ZERO)
                     };
                     // The least important goes first; a start undone so soon was for nothing.
                     let rank = u64::from(other.request.priority == Priority::Normal);
@@ -89,15 +73,11 @@
 
     fn stop_victims(&mut self, host: &HostId, victims: &[TaskId], why: &'static str, now: Micros) {
         for task in victims {
-            let leftover = |j: &crate::job::Job| self.is_leftover(&j.request);
-            let leftover = self.jobs.get(&task.job).is_some_and(leftover);
             let Some(other) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
             other.preempted += 1;
-            let grace = if leftover {
-                Micros::ZERO
-            } else if other.checkpoints() {
+            let grace = if other.checkpoints() {
                 other.request.save + Micros::from_secs(1)
             } else {
                 Micros::ZERO
