--- a/crates/jasperhill-testkit/tests/cluster.rs
+++ b/crates/jasperhill-testkit/tests/cluster.rs
@@ -14,8 +14,9 @@
     Duration::from_secs(s)
 }
 
-fn play(seed: u64, troubles: Vec<(u64, Trouble)>) -> Outcome {
-    let outcome = run(Plan {
+/// A small deployment for five minutes.
+fn small(seed: u64, troubles: Vec<(u64, Trouble)>) -> Plan {
+    Plan {
         seed,
         seconds: 300,
         jobs: 60,
@@ -23,7 +24,11 @@
         scale: Scale::Small,
         broken: 0,
         guests: false,
-    });
+    }
+}
+
+fn play(seed: u64, troubles: Vec<(u64, Trouble)>) -> Outcome {
+    let outcome = run(small(seed, troubles));
     assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
     // A run that does nothing would prove nothing.
     assert!(outcome.accepted > 40, "{outcome:?}");
@@ -111,15 +116,7 @@
                 },
             ));
         }
-        let outcome = run(Plan {
-            seed,
-            seconds: 300,
-            jobs: 60,
-            troubles,
-            scale: Scale::Small,
-            broken: 0,
-            guests: false,
-        });
+        let outcome = run(small(seed, troubles));
         assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
         assert!(outcome.started > 50, "seed {seed}: {outcome:?}");
     }
@@ -204,13 +201,8 @@
             }
         }
         let outcome = run(Plan {
-            seed,
-            seconds: 300,
-            jobs: 60,
-            troubles,
-            scale: Scale::Small,
             broken: 2,
-            guests: false,
+            ..small(seed, troubles)
         });
         assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
         assert!(outcome.started > 50, "seed {seed}: {outcome:?}");
@@ -254,13 +246,9 @@
     let mut troubles: Vec<_> = (0..3).map(|n| (75, Trouble::Crash(n, secs(6)))).collect();
     troubles.push((110, Trouble::Freeze(0, secs(20))));
     let outcome = run(Plan {
-        seed: 90,
-        seconds: 300,
-        jobs: 60,
-        troubles,
-        scale: Scale::Small,
         broken: 4,
         guests: true,
+        ..small(90, troubles)
     });
     assert_eq!(outcome.broken, Vec::<String>::new());
     assert!(outcome.accepted >= 60, "{outcome:?}");
