No worker lists more tasks than a report may hold

Cause: nothing bounded the tasks on a host but its amounts. Thousands of a guest's tiny tasks on a machine make its report outgrow the 64 KiB of a request body; it is refused, the lease runs out, and all that runs there is lost, production included. Ruled out: processor time and the state service's limits, both with room to spare. Change: a host whose worker lists 440 tasks, exited ones that can't be cleared yet included, gets no more; a message carries at most 600 orders, the rest follows. Test: a_host_lists_no_more_tasks_than_a_report_may_hold.

--- a/crates/jasperhill-sched/src/gang.rs
+++ b/crates/jasperhill-sched/src/gang.rs
@@ -1,7 +1,7 @@
 //! Gangs: started whole or not at all, and hosts kept free for those that wait.
 
 use crate::{
-    host::Host,
+    host::{Host, LISTED_MAX},
     job::{Job, KeptHosts},
     partition::Partition,
     pass::Pass,
@@ -113,7 +113,9 @@
         let mut by_zone: BTreeMap<&Name, u32> = BTreeMap::new();
         let mut worst = 0;
         for (cost, i, host, mut room) in candidates {
-            while slots.len() < request.tasks as usize && request.each.fits(&room) {
+            let mut more = LISTED_MAX.saturating_sub(pass.slots[i].listed);
+            while slots.len() < request.tasks as usize && request.each.fits(&room) && more > 0 {
+                more -= 1;
                 let used = by_zone.entry(&host.zone).or_default();
                 if *used >= request.zone_cap() {
                     break;
--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -22,6 +22,13 @@
 /// A completed task proves a host for so long after its start.
 const PROVED_FOR: Micros = Micros::from_secs(120);
 
+/// Tasks that a worker may list, exited ones that are not cleared yet included: a report with
+/// more could outgrow the 64 KiB that a request body may have, and a host whose reports are
+/// refused is lost with all that runs there.
+pub const LISTED_MAX: usize = 440;
+/// Orders in one message, which may not outgrow 64 KiB either; the rest follows.
+const ORDERS_MAX: usize = 600;
+
 /// How well a host is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -297,6 +304,11 @@
         self.recount();
     }
 
+    /// Tasks in its reports, or soon in them.
+    pub fn listed(&self) -> usize {
+        self.tasks.len() + self.stale.len()
+    }
+
     pub fn room(&self) -> Resources {
         let mut room = self.spec.capacity;
         room -= self.used;
@@ -346,6 +358,7 @@
                 _ => {}
             }
         }
+        out.truncate(ORDERS_MAX);
         out
     }
 
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -3,7 +3,7 @@
 //! are in `suit`, `book`, `gang`, `room` and `drain`.
 
 use crate::{
-    host::{Host, HostInput},
+    host::{Host, HostInput, LISTED_MAX},
     job::TaskStep,
     partition::{Ghosts, Partition},
 };
@@ -19,6 +19,8 @@
     pub usable: bool,
     /// Room left.
     pub room: Resources,
+    /// Tasks that its worker lists.
+    pub listed: usize,
     /// Kept free for a waiting gang.
     pub reserved: Option<JobId>,
 }
@@ -44,12 +46,16 @@
     }
     pub fn fits(&self, i: usize, job: &JobId, each: &Resources) -> bool {
         self.slots.get(i).is_some_and(|s| {
-            s.usable && each.fits(&s.room) && s.reserved.as_ref().is_none_or(|j| j == job)
+            s.usable
+                && s.listed < LISTED_MAX
+                && each.fits(&s.room)
+                && s.reserved.as_ref().is_none_or(|j| j == job)
         })
     }
     pub fn take(&mut self, i: usize, each: &Resources) {
         if let Some(slot) = self.slots.get_mut(i) {
             slot.room -= *each;
+            slot.listed += 1;
         }
     }
     /// No usable host has room for this.
@@ -88,6 +94,7 @@
                 id: h.id.clone(),
                 usable: h.is_usable(now, &self.config),
                 room: h.room(),
+                listed: h.listed(),
                 reserved: None,
             })
             .collect();
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -603,3 +603,30 @@
         }
     }
 }
+
+/// Guards against reports that outgrow what a request body may have: a guest's tasks can be so
+/// small that thousands would fit a machine.
+#[test]
+fn a_host_lists_no_more_tasks_than_a_report_may_hold() {
+    let mut part = partition(1, false);
+    let mut tiny = (*request("job-1", "array", 50_000, 0.0, None)).clone();
+    tiny.each = Resources::from_units(0.001, 0.0, 0.001);
+    part.upsert_job(&Rc::new(tiny), Revision(6), NOW, &[], (0, NOW));
+    part.pass(NOW);
+    let id = HostId::new("n-1");
+    let on = live(&part, "job-1");
+    assert!((100..1_000).contains(&on), "{on}");
+    let orders = part.orders(&id);
+    let text = jasperhill_wire::worker::orders_body(part.hosts[&id].token, Some(1), &orders);
+    assert!(text.len() < 60_000, "{}", text.len());
+    // Exited tasks that can't be cleared yet count as well.
+    all_exit(&mut part, "n-1", 9, Cause::Done, NOW);
+    part.pass(NOW);
+    assert!(part.hosts[&id].listed() <= on + 1);
+    // Once the results are in the record, others follow.
+    let done: std::collections::BTreeSet<u32> = (0..50_000).collect();
+    part.saved(&JobId::new("job-1"), &done, 0);
+    part.on_report(&report("n-1", 1, 10, 5, vec![]), Source::Hello, NOW);
+    part.pass(NOW);
+    assert!(live(&part, "job-1") > 100);
+}
