--- a/crates/jasperhill-control/src/cloud/mod.rs
+++ b/crates/jasperhill-control/src/cloud/mod.rs
@@ -20,7 +20,7 @@
 use jasperhill_wire::{
     HostId, Micros, Name, Revision,
     cloud::{MachineTypes, RentRequest},
-    record::{HostRecord, HostUse, Role, TYPES_KEY, role_key},
+    record::{HostRecord, HostUse, Role, role_key, types_key},
 };
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::time::sleep;
@@ -169,7 +169,7 @@
         let write = {
             let mut state = self.state.borrow_mut();
             state.specs = Some(Rc::new(specs(&types.types)));
-            let old = state.mirror.types.as_ref();
+            let old = state.mirror.types();
             match (&state.leader, old) {
                 (Some(leader), None) if state.mirror.is_synced() => Some(leader.since),
                 _ => None,
@@ -179,11 +179,23 @@
         if let Some(since) = write {
             let guards = vec![
                 guard(role_key(Role::Leader), since),
-                guard(TYPES_KEY, Revision(0)),
+                guard(types_key(0), Revision(0)),
             ];
-            let change = put(TYPES_KEY, &types);
-            self.write(Urgency::Rest, guards, vec![change], Micros::from_secs(5))
-                .await;
+            let parts = types.split(self.settings.value_bytes);
+            let parts = parts.filter(|p| p.len() <= self.settings.txn_ops);
+            let Some(parts) = parts else {
+                tracing::warn!("machine types that no records hold");
+                return true;
+            };
+            let parts = parts.iter().enumerate();
+            let changes = parts.map(|(n, part)| put(types_key(n as u32), part));
+            self.write(
+                Urgency::Rest,
+                guards,
+                changes.collect(),
+                Micros::from_secs(5),
+            )
+            .await;
         }
         true
     }
@@ -202,6 +214,7 @@
         if due {
             self.look().await;
         }
+        self.split_blocks();
         self.release().await;
         self.assign_free();
         self.rent().await;
--- a/crates/jasperhill-control/src/cloud/stock.rs
+++ b/crates/jasperhill-control/src/cloud/stock.rs
@@ -1,7 +1,13 @@
 //! What every partition should have and has, by the records alone.
 
-use crate::controller::{Inner, State};
-use jasperhill_sched::fleet::{Demand, Need, plan};
+use crate::{
+    controller::{Inner, State},
+    mirror::ActiveJob,
+};
+use jasperhill_sched::{
+    chain::Standing,
+    fleet::{Demand, Need, plan},
+};
 use jasperhill_wire::{Micros, Name, record::HostUse};
 use std::collections::BTreeMap;
 
@@ -73,11 +79,18 @@
             return Vec::new();
         };
         let wall = self.clock.wall();
+        let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
+        let now = self.now();
+        // What waits for others counts from when a machine rented now would be there for it.
+        let near = |job: &ActiveJob| match state.mirror.chain.standing(&job.request.id) {
+            Standing::Ready => true,
+            _ => self.release_of(state, &job.request, now) <= boot,
+        };
         let demands: Vec<Demand<'_>> = state
             .mirror
             .active()
             // No machine is rented for what fails wherever it runs.
-            .filter(|job| job.failing == 0)
+            .filter(|job| job.failing == 0 && near(job))
             .filter_map(|job| {
                 Some(Demand {
                     request: &job.request,
@@ -89,8 +102,6 @@
             .collect();
         let head = 1.0 + self.settings.own.tuning.headroom;
         let planned = |need: f64| need * head;
-        let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
-        let now = self.now();
         let mut stocks: Vec<Stock> = plan(&demands, &self.sched, specs)
             .iter()
             .enumerate()
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -9,18 +9,20 @@
     counts::Learned,
     hostbook::HostBook,
     keep::{Granted, Keeping},
-    mirror::{self, Change, JobEntry, Mirror},
+    mirror::{self, ActiveJob, Change, JobEntry, Mirror},
     net::Transport,
     pulse::{self, Pulse},
     settings::Settings,
     store::Writer,
+    upgrade::{Seen, Upgrade},
 };
 use jasperhill_http::{Request, Response};
 use jasperhill_sched::{
     Partition, SchedConfig,
+    chain::Standing,
     config::{Specs, specs},
     fleet::Arrivals,
-    job::Ending,
+    job::{Ending, Gate, Place},
     partition::Note,
 };
 use jasperhill_wire::{
@@ -31,7 +33,7 @@
 };
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     future::Future,
     net::SocketAddr,
     rc::Rc,
@@ -47,6 +49,9 @@
     Duration::from_micros(t.0)
 }
 
+/// Released jobs whose times are remembered; beyond, age counts from the submission.
+const RELEASED_MAX: usize = 20_000;
+
 /// A job that was refused and may come again.
 pub(crate) struct Refused {
     pub first: Micros,
@@ -60,6 +65,9 @@
 pub(crate) struct State {
     pub authority: Authority,
     pub mirror: Mirror,
+    /// When unfinished jobs that waited for others were seen to be released.
+    pub released: HashMap<JobId, Micros>,
+    pub upgrade: Upgrade,
     pub partitions: BTreeMap<u32, Partition>,
     pub leader: Option<Leader>,
     pub specs: Option<Rc<Specs>>,
@@ -82,6 +90,8 @@
     /// Since when a member has had a session.
     pub alive: BTreeMap<Member, Micros>,
     pub saving: BTreeSet<JobId>,
+    /// Jobs whose records are being cancelled because a job before them is.
+    pub cancelling: BTreeSet<JobId>,
     /// When the partial results of unfinished jobs are to be written.
     pub partial_due: BTreeMap<JobId, Micros>,
     pub bumping: BTreeSet<HostId>,
@@ -144,10 +154,12 @@
         let state = State {
             authority: Authority::new(settings.session(), settings.watch_age_max()),
             mirror: Mirror::default(),
+            released: HashMap::new(),
+            upgrade: Upgrade::default(),
             partitions: BTreeMap::new(),
             leader: None,
             specs: None,
-            writer: Writer::new(Bucket::new(writes, writes, now)),
+            writer: Writer::new(Bucket::new(writes, writes, now), settings.txn_ops),
             book: HostBook::default(),
             keeping: Keeping::default(),
             learned: Learned::default(),
@@ -161,6 +173,7 @@
             orphaned: BTreeMap::new(),
             alive: BTreeMap::new(),
             saving: BTreeSet::new(),
+            cancelling: BTreeSet::new(),
             partial_due: BTreeMap::new(),
             bumping: BTreeSet::new(),
             newcomers: Vec::new(),
@@ -270,6 +283,9 @@
         let following = state.mirror.is_synced();
         let changes = state.mirror.apply(input);
         let began = !following && state.mirror.is_synced();
+        if began {
+            self.look_at_versions(&mut state);
+        }
         if changes.is_empty() {
             return;
         }
@@ -277,11 +293,20 @@
         for change in changes {
             match change {
                 Change::Job(id) => {
-                    if following {
+                    if following && state.mirror.chain.standing(&id) == Standing::Ready {
                         self.note_arrival(&mut state, &id, now);
                     }
                     pass |= self.job_changed(&mut state, &id, now);
                 }
+                Change::Released(id) => {
+                    // Its time counts from now on.
+                    if state.released.len() < RELEASED_MAX {
+                        state.released.insert(id.clone(), now);
+                    }
+                    self.note_arrival(&mut state, &id, now);
+                    pass |= self.job_changed(&mut state, &id, now);
+                }
+                Change::Related(id) => pass |= self.job_changed(&mut state, &id, now),
                 Change::Host(id) => {
                     self.host_changed(&mut state, &id, now);
                     pass = true;
@@ -292,8 +317,10 @@
                     } else {
                         state.alive.remove(&member);
                     }
+                    self.look_at_versions(&mut state);
                     roles = true;
                 }
+                Change::Format(_) => self.look_at_versions(&mut state),
                 Change::Role(_) => roles = true,
                 Change::Ask(keeper) => {
                     state.asked.insert(keeper);
@@ -301,10 +328,10 @@
                 }
                 Change::Grant => self.wake_kept.notify_waiters(),
                 Change::Types => {
-                    if let Some(types) = &state.mirror.types
-                        && state.specs.is_none()
+                    if state.specs.is_none()
+                        && let Some(types) = state.mirror.types()
                     {
-                        state.specs = Some(Rc::new(specs(&types.value.types)));
+                        state.specs = Some(Rc::new(specs(&types.types)));
                         roles = true;
                     }
                 }
@@ -322,6 +349,40 @@
         }
     }
 
+    /// Notes whether every member is of this version.
+    fn look_at_versions(&self, state: &mut State) {
+        let State {
+            upgrade, mirror, ..
+        } = state;
+        let seen = Seen {
+            synced: mirror.is_synced(),
+            members: &self.members,
+            sessions: &mirror.sessions,
+            formats: &mirror.formats,
+        };
+        if upgrade.apply(&seen) {
+            tracing::info!(state = ?*upgrade, "versions of the members");
+        }
+    }
+
+    /// How a job stands in its pipeline, by the steady clock.
+    pub fn place_of(&self, state: &State, job: &ActiveJob) -> Place {
+        let id = &job.request.id;
+        let claim = state.mirror.chain.claim(id);
+        Place {
+            gate: match state.mirror.chain.standing(id) {
+                Standing::Ready => Gate::Open,
+                _ => Gate::Waiting,
+            },
+            since: match state.released.get(id) {
+                Some(at) => *at,
+                None => self.clock.steady(job.submitted),
+            },
+            due: claim.due.map(|due| self.clock.steady(due)),
+            priority: claim.priority,
+        }
+    }
+
     /// A controller that begins learns what has come lately from the records. Guards against a
     /// fleet that shrinks when its leader has restarted and expects nothing any more.
     fn recall_arrivals(&self, state: &mut State, now: Micros) {
@@ -331,6 +392,7 @@
         let mut recent: Vec<(Micros, Rc<JobRequest>)> = state
             .mirror
             .active()
+            .filter(|job| state.mirror.chain.standing(&job.request.id) == Standing::Ready)
             .map(|job| (self.clock.steady(job.submitted), job.request.clone()))
             .collect();
         recent.sort_by_key(|(at, _)| *at);
@@ -370,31 +432,33 @@
     }
 
     fn job_changed(&self, state: &mut State, id: &JobId, now: Micros) -> bool {
-        match state.mirror.job(id) {
-            Some(JobEntry::Active(job)) => {
-                let Some(p) = self.partition_of(&job.request.team) else {
-                    return false;
-                };
-                let Some(partition) = state.partitions.get_mut(&p) else {
-                    return false;
-                };
-                let submitted = self.clock.steady(job.submitted);
-                let trust = (job.failing, now);
-                partition.upsert_job(&job.request, job.version, submitted, &job.finished, trust);
-                true
-            }
-            Some(JobEntry::Final { phase, .. }) => {
-                let ending = match phase {
-                    RecordPhase::Done => Ending::Done,
-                    _ => Ending::Cancelled,
-                };
-                for partition in state.partitions.values_mut() {
-                    partition.end_job(id, ending, now);
-                }
-                true
+        if let Some((phase, _)) = state.mirror.final_phase(id) {
+            let ending = match phase {
+                RecordPhase::Done => Ending::Done,
+                _ => Ending::Cancelled,
+            };
+            state.released.remove(id);
+            for partition in state.partitions.values_mut() {
+                partition.end_job(id, ending, now);
             }
-            None => false,
+            return true;
         }
+        let Some(JobEntry::Active(job)) = state.mirror.job(id) else {
+            return false;
+        };
+        let Some(p) = self.partition_of(&job.request.team) else {
+            return false;
+        };
+        let place = self.place_of(state, job);
+        let submitted = self.clock.steady(job.submitted);
+        let Some(partition) = state.partitions.get_mut(&p) else {
+            return false;
+        };
+        let trust = (job.failing, now);
+        let (request, version) = (&job.request, job.version);
+        partition.upsert_job(request, version, submitted, &job.finished, trust);
+        partition.place_job(id, place);
+        true
     }
 
     fn host_changed(&self, state: &mut State, id: &HostId, now: Micros) {
@@ -484,6 +548,7 @@
             self.clone().spawn(self.clone().direct(p, host));
         }
         self.clone().save_results();
+        self.clone().write_cancelled();
         self.bump_tokens();
     }
 
--- a/crates/jasperhill-control/src/hostbook.rs
+++ b/crates/jasperhill-control/src/hostbook.rs
@@ -2,6 +2,10 @@
 //! change in bulk. Owns the edits that wait to be written and turns them into writes, at most
 //! one under way for each block. An edit is a compare-and-swap on one host's record; other
 //! hosts of the block do not bear on it.
+//!
+//! A block that is larger than a value may be is split by whoever writes it, once every member
+//! understands that: one transaction rewrites it and puts what no longer fits into new blocks,
+//! so that no host is ever in two blocks or in none.
 
 use crate::{
     controller::{Inner, State},
@@ -10,7 +14,8 @@
 };
 use jasperhill_wire::{
     HostId, Micros, Revision,
-    record::{HostRecord, Role, block_key, role_key},
+    record::{HostBlock, HostRecord, Role, block_key, role_key},
+    state::{Change, Guard},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -45,14 +50,34 @@
     /// Where the leader has put hosts. A host keeps its block while this leadership lasts,
     /// even if a write's fate is unknown: it must never stand in two blocks.
     placed: BTreeMap<HostId, u32>,
+    /// Blocks that the leader wants split, with nothing to edit.
+    splitting: BTreeSet<u32>,
+    /// New blocks of splits that are being written.
+    reserved: BTreeSet<u32>,
+    /// Blocks that were refused, and until when they are left alone.
+    refused: BTreeMap<u32, Micros>,
+}
+
+/// What one write of a block consists of.
+struct Prepared {
+    edits: Vec<Waiting>,
+    urgency: Urgency,
+    guards: Vec<Guard>,
+    changes: Vec<Change>,
+    /// The new blocks among them.
+    fresh: Vec<u32>,
 }
 
 /// Edits that may wait for one block; more are refused.
 const WAITING_MAX: usize = 1_000;
 /// What an entry takes in a block beyond its own text.
 const ENTRY_MORE: usize = 16;
-/// What a block takes beyond its entries.
+/// What a block takes beyond its entries, and what is left for them to grow.
 const BLOCK_MORE: usize = 128;
+/// A refused block is left alone for so long.
+const REFUSED_FOR: Micros = Micros::from_secs(2);
+/// Blocks split at a time.
+const SPLITS_MAX: usize = 4;
 
 fn entry_bytes(id: &HostId, record: &HostRecord) -> usize {
     serde_json::to_vec(record).map_or(usize::MAX / 4, |v| v.len()) + id.as_str().len() + ENTRY_MORE
@@ -80,17 +105,24 @@
         let room = value_bytes.saturating_sub(BLOCK_MORE);
         let mine = entry_bytes(id, record);
         let mut sizes: BTreeMap<u32, usize> = BTreeMap::new();
-        for (other, kept) in &mirror.hosts {
-            if kept.block % partitions == partition && !self.placed.contains_key(other) {
-                *sizes.entry(kept.block).or_default() += entry_bytes(other, &kept.value);
+        for (block, bytes) in &mirror.block_bytes {
+            if block % partitions == partition {
+                sizes.insert(*block, *bytes);
             }
         }
-        for block in self.placed.values() {
+        for (_, block) in self
+            .placed
+            .iter()
+            .filter(|(other, _)| !mirror.hosts.contains_key(*other))
+        {
             // Entries are alike: this one stands for those that are on their way.
             *sizes.entry(*block).or_default() += mine;
         }
+        let full = |block: &u32| {
+            self.reserved.contains(block) || sizes.get(block).is_some_and(|used| used + mine > room)
+        };
         let mut block = partition;
-        while sizes.get(&block).is_some_and(|used| used + mine > room) {
+        while full(&block) {
             block += partitions;
         }
         self.placed.insert(id.clone(), block);
@@ -101,6 +133,39 @@
     pub fn displace(&mut self, id: &HostId) {
         self.placed.remove(id);
     }
+
+    /// Edits of this block were refused a moment ago.
+    pub fn is_refused(&self, block: u32, now: Micros) -> bool {
+        self.refused.get(&block).is_some_and(|until| now < *until)
+    }
+}
+
+/// The parts of a block, the first of which stays under its key: each within `room`, but no
+/// more than `most` parts; what does not fit then stays in the first.
+fn parts(block: HostBlock, room: usize, most: usize) -> Vec<HostBlock> {
+    let mut parts = vec![HostBlock::default()];
+    let mut used = 0;
+    for (id, mut record) in block.hosts {
+        let bytes = entry_bytes(&id, &record);
+        if used + bytes > room && used > 0 {
+            if parts.len() < most {
+                parts.push(HostBlock::default());
+                used = 0;
+            } else {
+                parts[0].hosts.insert(id, record);
+                continue;
+            }
+        }
+        used += bytes;
+        if parts.len() > 1 {
+            // Every change of an entry is seen as one.
+            record.bump += 1;
+        }
+        if let Some(last) = parts.last_mut() {
+            last.hosts.insert(id, record);
+        }
+    }
+    parts
 }
 
 impl Inner {
@@ -135,16 +200,47 @@
         // What comes in the same moment goes together.
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
         let now = self.now();
-        let Some((edits, urgency, guards, change)) =
-            self.next_block(&mut self.state.borrow_mut(), block, now)
-        else {
+        let Some(prepared) = self.next_block(&mut self.state.borrow_mut(), block, now) else {
             return false;
         };
+        let Prepared {
+            edits,
+            urgency,
+            guards,
+            changes,
+            fresh,
+        } = prepared;
         let done = if guards.is_empty() {
             Written::NotDone
         } else {
             let limit = Micros::from_secs(3);
-            self.write(urgency, guards, vec![change], limit).await
+            let sent = self.now();
+            let done = self.write(urgency, guards, changes, limit).await;
+            let now = self.now();
+            let mut state = self.state.borrow_mut();
+            if done == Written::NotDone && now - sent < limit {
+                // Refused, not merely late. Guards against one block that is written again and
+                // again although the state service does not take it.
+                state.book.refused.retain(|_, until| now < *until);
+                state.book.refused.insert(block, now + REFUSED_FOR);
+            }
+            if let Written::Done(_) = done
+                && !fresh.is_empty()
+            {
+                tracing::info!(block, into = fresh.len(), "host block split");
+                let State { book, mirror, .. } = &mut *state;
+                for (id, place) in &mut book.placed {
+                    if *place == block
+                        && let Some(kept) = mirror.hosts.get(id)
+                    {
+                        *place = kept.block;
+                    }
+                }
+            }
+            for n in &fresh {
+                state.book.reserved.remove(n);
+            }
+            done
         };
         match done {
             // Another controller has changed the block: the edits are tried on what it is now.
@@ -163,21 +259,42 @@
         true
     }
 
+    /// The leader has blocks split that are larger than a value may be, a few at a time. Guards
+    /// against blocks that nobody happens to edit before the limits fall.
+    pub fn split_blocks(self: &Rc<Self>) {
+        let mut due = Vec::new();
+        {
+            let mut state = self.state.borrow_mut();
+            if !state.upgrade.is_complete() || state.leader.is_none() {
+                return;
+            }
+            let now = self.now();
+            for (block, bytes) in &state.mirror.block_bytes {
+                if *bytes > self.settings.value_bytes
+                    && due.len() < SPLITS_MAX
+                    && !state.book.is_refused(*block, now)
+                    && !state.book.writing.contains(block)
+                {
+                    due.push(*block);
+                }
+            }
+            state.book.splitting.extend(due.iter().copied());
+        }
+        for block in due {
+            self.write_block(block);
+        }
+    }
+
     /// The edits of one role that can be written together now, and the write.
-    #[allow(clippy::type_complexity)]
-    fn next_block(
-        &self,
-        state: &mut State,
-        block: u32,
-        now: Micros,
-    ) -> Option<(
-        Vec<Waiting>,
-        Urgency,
-        Vec<jasperhill_wire::state::Guard>,
-        jasperhill_wire::state::Change,
-    )> {
-        let waiting = state.book.waiting.remove(&block)?;
-        let role = waiting.first()?.edit.role;
+    fn next_block(&self, state: &mut State, block: u32, now: Micros) -> Option<Prepared> {
+        let split = state.book.splitting.remove(&block);
+        let waiting = state.book.waiting.remove(&block).unwrap_or_default();
+        let leader = state.leader.as_ref().map(|l| (Role::Leader, l.since));
+        let role = match waiting.first() {
+            Some(w) => w.edit.role,
+            None if split => leader?,
+            None => return None,
+        };
         let mut hosts = state.mirror.block(block);
         let version = state.mirror.blocks.get(&block).copied();
         let (mut edits, mut rest): (Vec<Waiting>, Vec<Waiting>) = (Vec::new(), Vec::new());
@@ -189,7 +306,7 @@
                 host, was, becomes, ..
             } = &w.edit;
             let kept = state.mirror.hosts.get(host);
-            if now >= w.edit.by {
+            if now >= w.edit.by || state.book.is_refused(block, now) {
                 let _ = w.reply.send(Written::NotDone);
             } else if kept.map(|k| k.version) != *was
                 || kept.is_some_and(|k| k.block != block)
@@ -210,23 +327,59 @@
         if !rest.is_empty() {
             state.book.waiting.insert(block, rest);
         }
-        if edits.is_empty() {
-            return state.book.waiting.contains_key(&block).then(|| {
-                let nothing = jasperhill_wire::state::Change::Delete { key: String::new() };
-                (Vec::new(), Urgency::Rest, Vec::new(), nothing)
+        if edits.is_empty() && !(split && version.is_some()) {
+            return state.book.waiting.contains_key(&block).then(|| Prepared {
+                edits: Vec::new(),
+                urgency: Urgency::Rest,
+                guards: Vec::new(),
+                changes: Vec::new(),
+                fresh: Vec::new(),
             });
         }
         let urgency = edits
             .iter()
             .map(|w| w.edit.urgency)
             .min()
-            .unwrap_or(Urgency::Rest);
+            .unwrap_or(Urgency::Finish);
         let key = block_key(block);
-        let guards = vec![
+        let mut guards = vec![
             guard(role_key(role.0), role.1),
             guard(key.clone(), version.unwrap_or_default()),
         ];
-        Some((edits, urgency, guards, put(key, &hosts)))
+        let bytes = serde_json::to_vec(&hosts).map_or(0, |b| b.len());
+        if bytes <= self.settings.value_bytes || !state.upgrade.is_complete() {
+            return Some(Prepared {
+                edits,
+                urgency,
+                guards,
+                changes: vec![put(key, &hosts)],
+                fresh: Vec::new(),
+            });
+        }
+        let room = self.settings.value_bytes.saturating_sub(BLOCK_MORE);
+        let mut parts = parts(hosts, room, self.settings.txn_ops).into_iter();
+        let mut changes = vec![put(key, &parts.next().unwrap_or_default())];
+        let (mut fresh, mut next) = (Vec::new(), block);
+        for part in parts {
+            next += self.settings.size;
+            while state.mirror.blocks.contains_key(&next)
+                || state.book.reserved.contains(&next)
+                || state.book.waiting.contains_key(&next)
+            {
+                next += self.settings.size;
+            }
+            state.book.reserved.insert(next);
+            fresh.push(next);
+            guards.push(guard(block_key(next), Revision(0)));
+            changes.push(put(block_key(next), &part));
+        }
+        Some(Prepared {
+            edits,
+            urgency,
+            guards,
+            changes,
+            fresh,
+        })
     }
 }
 
--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -13,14 +13,13 @@
 use crate::{
     authority::Session,
     controller::{Inner, State, std_time},
-    mirror::JobEntry,
     store::{Urgency, Written, guard, put},
 };
 use jasperhill_http::Response;
 use jasperhill_sched::HostInput;
 use jasperhill_wire::{
     HostId, Member, Micros, Revision, Token,
-    record::{AskRecord, GrantRecord, Role, ask_key, grant_key, role_key, session_key},
+    record::{AskRecord, GrantRecord, Role, ask_key, ask_part, grant_key, role_key, session_key},
     state::Change,
     worker::{Order, Report, orders_body},
 };
@@ -30,23 +29,91 @@
 /// What this controller keeps for others.
 #[derive(Default)]
 pub(crate) struct Keeping {
-    /// Hosts that came here because they can't reach their owner, and when they last did.
-    hosts: BTreeMap<HostId, Micros>,
+    /// Hosts that came here because they can't reach their owner, when they last did, and in
+    /// which part of the asks they are.
+    hosts: BTreeMap<HostId, (Micros, u32)>,
+    /// The parts: no value holds all hosts of a large zone.
+    parts: BTreeMap<u32, Part>,
     /// When the asks were sent, by number.
     sent: BTreeMap<u64, Micros>,
     number: u64,
+    /// When another controller last failed to answer, if it has not answered since.
+    unreached: BTreeMap<Member, Micros>,
+}
+
+/// One part of the asks.
+#[derive(Default)]
+struct Part {
+    hosts: usize,
     changed: bool,
     written: bool,
     last: Micros,
-    /// When another controller last failed to answer, if it has not answered since.
-    unreached: BTreeMap<Member, Micros>,
+}
+
+impl Keeping {
+    /// Counts a host in, in the first part that has room for `most`. `None` if none has;
+    /// otherwise whether it is new.
+    fn join(&mut self, host: &HostId, most: usize, now: Micros) -> Option<bool> {
+        if let Some((at, _)) = self.hosts.get_mut(host) {
+            *at = now;
+            return Some(false);
+        }
+        let free = |n: &u32| self.parts.get(n).is_none_or(|p| p.hosts < most);
+        let n = (0..PARTS_MAX).find(free)?;
+        let part = self.parts.entry(n).or_default();
+        part.hosts += 1;
+        part.changed = true;
+        self.hosts.insert(host.clone(), (now, n));
+        Some(true)
+    }
+
+    /// Leaves out hosts that came last before this moment.
+    fn leave(&mut self, gone: Micros, now: Micros) {
+        let parts = &mut self.parts;
+        self.hosts.retain(|_, (at, n)| {
+            let stays = now - *at < gone;
+            if !stays && let Some(part) = parts.get_mut(n) {
+                part.hosts -= 1;
+                part.changed = true;
+            }
+            stays
+        });
+    }
+
+    /// The parts to be written now, with the numbers of their asks and their hosts.
+    fn due(&mut self, again: Micros, now: Micros) -> Vec<(u32, u64, Vec<HostId>)> {
+        let mut due = Vec::new();
+        for (n, part) in &mut self.parts {
+            let wanted = if part.hosts == 0 {
+                part.written
+            } else {
+                part.changed || now - part.last >= again
+            };
+            if wanted {
+                part.changed = false;
+                part.last = now;
+                self.number += 1;
+                // Before the write: the grant's time runs from here.
+                self.sent.insert(self.number, now);
+                let here = self.hosts.iter().filter(|(_, (_, m))| m == n);
+                let hosts = here.map(|(id, _)| id.clone()).collect();
+                due.push((*n, self.number, hosts));
+            }
+        }
+        while self.sent.len() > SENT_MAX {
+            self.sent.pop_first();
+        }
+        due
+    }
 }
 
 /// What this controller has granted, by partition and keeper: the ask answered, and when.
 pub(crate) type Granted = BTreeMap<(u32, Member), (u64, Micros)>;
 
-/// Asks remembered.
-const SENT_MAX: usize = 32;
+/// Asks remembered: several of each part.
+const SENT_MAX: usize = 32 * PARTS_MAX as usize;
+/// Parts of this controller's asks.
+const PARTS_MAX: u32 = 64;
 /// Hosts that fit an ask whatever their names, as a part of a value's bytes.
 const HOST_BYTES: usize = 40;
 /// How long a report may wait for the grant; the worker waits four seconds.
@@ -109,14 +176,10 @@
             let now = self.now();
             let mut state = self.state.borrow_mut();
             let most = self.settings.value_bytes.saturating_sub(256) / HOST_BYTES;
-            let keeping = &mut state.keeping;
-            if !keeping.hosts.contains_key(&report.host) {
-                if keeping.hosts.len() >= most || report.host.as_str().len() > HOST_BYTES / 2 {
-                    return None;
-                }
-                keeping.changed = true;
+            if report.host.as_str().len() > HOST_BYTES / 2 {
+                return None;
             }
-            keeping.hosts.insert(report.host.clone(), now).is_none()
+            state.keeping.join(&report.host, most, now)?
         };
         if begin {
             self.wake_keep.notify_one();
@@ -147,10 +210,9 @@
         }
         let kept = state.mirror.hosts.get(&report.host)?;
         let p = kept.value.partition()?;
-        let grant = state
-            .mirror
-            .grants
-            .get(&(p, self.settings.member.clone()))?;
+        let (_, part) = *state.keeping.hosts.get(&report.host)?;
+        let me = ask_part(&self.settings.member, part);
+        let grant = state.mirror.grants.get(&(p, me))?;
         let token = *grant.value.hosts.get(&report.host)?;
         if grant.value.lease != lease {
             return None;
@@ -163,16 +225,13 @@
         let orders: Vec<Order> = report
             .tasks
             .iter()
-            .filter(|t| {
-                let entry = state.mirror.job(&t.task.job);
-                matches!(entry, Some(JobEntry::Final { .. }))
-            })
+            .filter(|t| state.mirror.final_phase(&t.task.job).is_some())
             .map(|t| Order::Stop(t.task.clone(), t.attempt, Micros::ZERO))
             .collect();
         Some(Response::new(200, orders_body(token, None, &orders)))
     }
 
-    /// Writes the ask when it changes, and again and again while there is something to keep.
+    /// Writes the asks when they change, and again and again while there is something to keep.
     pub async fn keep_loop(self: Rc<Self>) {
         loop {
             let _ = timeout(Duration::from_millis(500), self.wake_keep.notified()).await;
@@ -181,66 +240,69 @@
                 let mut guarded = self.state.borrow_mut();
                 let state = &mut *guarded;
                 let gone = self.settings.report.scale(2.5) + Micros::from_secs(5);
-                let keeping = &mut state.keeping;
-                let before = keeping.hosts.len();
-                keeping.hosts.retain(|_, at| now - *at < gone);
-                keeping.changed |= keeping.hosts.len() != before;
-                let due = if keeping.hosts.is_empty() {
-                    keeping.written
-                } else {
-                    keeping.changed || now - keeping.last >= self.settings.grant().scale(0.25)
-                };
+                state.keeping.leave(gone, now);
                 match state.authority.session() {
-                    Session::Held { lease, version } if due => {
-                        keeping.changed = false;
-                        keeping.last = now;
-                        keeping.number += 1;
-                        let number = keeping.number;
-                        // Before the write: the grant's time runs from here.
-                        keeping.sent.insert(number, now);
-                        while keeping.sent.len() > SENT_MAX {
-                            keeping.sent.pop_first();
-                        }
-                        let hosts: Vec<HostId> = keeping.hosts.keys().cloned().collect();
-                        Some((lease, version, number, hosts))
+                    Session::Held { lease, version } => {
+                        let again = self.settings.grant().scale(0.25);
+                        Some((lease, version, state.keeping.due(again, now)))
                     }
-                    _ => None,
+                    Session::None => None,
                 }
             };
-            let Some((lease, version, number, hosts)) = prepared else {
+            let Some((lease, version, due)) = prepared else {
                 continue;
             };
-            let me = &self.settings.member;
-            let key = ask_key(me);
-            let empty = hosts.is_empty();
-            let change = if empty {
-                Change::Delete { key }
-            } else {
-                let record = AskRecord {
-                    number,
-                    lease,
-                    hosts,
-                };
-                match put(key, &record) {
-                    Change::Put { key, value, .. } => Change::Put {
-                        key,
-                        value,
-                        lease: Some(lease),
-                    },
-                    other => other,
-                }
-            };
-            let guards = vec![guard(session_key(me), version)];
-            let limit = Micros::from_secs(1);
-            let done = self
-                .write(Urgency::Accept, guards, vec![change], limit)
-                .await;
-            self.state.borrow_mut().keeping.written = !empty || !matches!(done, Written::Done(_));
+            if due.is_empty() {
+                continue;
+            }
+            for (part, number, hosts) in due {
+                self.clone().spawn(
+                    self.clone()
+                        .write_ask((lease, version), part, number, hosts),
+                );
+            }
             self.ping_unreached();
             sleep(std_time(ASK_PAUSE)).await;
         }
     }
 
+    async fn write_ask(
+        self: Rc<Self>,
+        (lease, version): (u64, Revision),
+        part: u32,
+        number: u64,
+        hosts: Vec<HostId>,
+    ) {
+        let me = &self.settings.member;
+        let key = ask_key(&ask_part(me, part));
+        let empty = hosts.is_empty();
+        let change = if empty {
+            Change::Delete { key }
+        } else {
+            let record = AskRecord {
+                number,
+                lease,
+                hosts,
+            };
+            match put(key, &record) {
+                Change::Put { key, value, .. } => Change::Put {
+                    key,
+                    value,
+                    lease: Some(lease),
+                },
+                other => other,
+            }
+        };
+        let guards = vec![guard(session_key(me), version)];
+        let limit = Micros::from_secs(1);
+        let done = self
+            .write(Urgency::Accept, guards, vec![change], limit)
+            .await;
+        if let Some(part) = self.state.borrow_mut().keeping.parts.get_mut(&part) {
+            part.written = !empty || !matches!(done, Written::Done(_));
+        }
+    }
+
     /// Asks those that did not answer whether they do now, so that hosts go home in time.
     fn ping_unreached(self: &Rc<Self>) {
         let unreached: Vec<Member> = {
@@ -280,7 +342,11 @@
         let Some(ask) = state.mirror.asks.get(keeper).map(|k| k.value.clone()) else {
             return;
         };
-        if keeper == &self.settings.member || !state.authority.holds(now) {
+        let me = self.settings.member.as_str();
+        // Its own asks, whatever the part.
+        let rest = keeper.as_str().strip_prefix(me);
+        let own = rest.is_some_and(|r| r.is_empty() || r.starts_with('/'));
+        if own || !state.authority.holds(now) {
             return;
         }
         let until = now + self.settings.grant();
--- a/crates/jasperhill-control/src/lib.rs
+++ b/crates/jasperhill-control/src/lib.rs
@@ -17,6 +17,7 @@
 mod roles;
 pub mod settings;
 mod store;
+mod upgrade;
 mod users;
 mod workers;
 
--- a/crates/jasperhill-control/src/mirror.rs
+++ b/crates/jasperhill-control/src/mirror.rs
@@ -1,12 +1,13 @@
 //! The mirror: a copy of the store, kept by a listing and a watch. Every change goes through
 //! [`Mirror::apply`].
 
+use jasperhill_sched::chain::{self, Chain, Fate, Output, Standing, Terms};
 use jasperhill_wire::{
     HostId, JobId, Member, Revision,
     cloud::MachineTypes,
     record::{
-        AskRecord, GrantRecord, HostBlock, HostRecord, JobRecord, Key, RecordPhase, Role,
-        RoleRecord, SessionRecord,
+        AskRecord, FormatRecord, GrantRecord, HostBlock, HostRecord, JobRecord, Key, RecordPhase,
+        Role, RoleRecord, SessionRecord,
     },
     state::{Event, Item},
     user::JobRequest,
@@ -74,10 +75,10 @@
         revision: Revision,
         events: Vec<Event>,
     },
-    /// What this controller wrote itself: seen before the watch tells.
+    /// What this controller wrote itself, one transaction: seen before the watch tells. All of
+    /// it at once, since a host may move from one block of it to another.
     Own {
-        key: String,
-        value: Option<Value>,
+        changes: Vec<(String, Option<Value>)>,
         version: Revision,
     },
 }
@@ -86,8 +87,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Change {
     Job(JobId),
+    /// All that it waited for is done.
+    Released(JobId),
+    /// Its standing or its claim has changed without its record.
+    Related(JobId),
     Host(HostId),
     Session(Member),
+    Format(Member),
     Role(Role),
     Ask(Member),
     Grant,
@@ -100,12 +106,23 @@
     pub revision: Revision,
     jobs: HashMap<JobId, JobEntry>,
     active: BTreeSet<JobId>,
+    /// What follows from the jobs that need others.
+    pub chain: Chain,
     pub hosts: BTreeMap<HostId, KeptHost>,
+    /// Hosts that their block no longer names and that may turn up in another one: a move is
+    /// seen as two changes in either order, or by a listing on two pages. They are gone only
+    /// if no block names them once the mirror is whole: a host that is gone runs nothing.
+    between: BTreeSet<HostId>,
     /// The blocks that the hosts are kept in, with their revisions.
     pub blocks: BTreeMap<u32, Revision>,
+    /// How large the blocks are in the store.
+    pub block_bytes: BTreeMap<u32, usize>,
     pub sessions: BTreeMap<Member, Kept<SessionRecord>>,
+    /// What the members' last processes understood.
+    pub formats: BTreeMap<Member, Kept<FormatRecord>>,
     pub roles: BTreeMap<Role, Kept<RoleRecord>>,
-    pub types: Option<Kept<MachineTypes>>,
+    /// The cloud's machine types, in parts.
+    types: BTreeMap<u32, Kept<MachineTypes>>,
     pub asks: BTreeMap<Member, Kept<AskRecord>>,
     pub grants: BTreeMap<(u32, Member), Kept<GrantRecord>>,
     /// Keys deleted by ourselves ahead of the watch, with the revisions of the deletions.
@@ -119,11 +136,15 @@
             revision: Revision(0),
             jobs: HashMap::new(),
             active: BTreeSet::new(),
+            chain: Chain::default(),
             hosts: BTreeMap::new(),
+            between: BTreeSet::new(),
             blocks: BTreeMap::new(),
+            block_bytes: BTreeMap::new(),
             sessions: BTreeMap::new(),
+            formats: BTreeMap::new(),
             roles: BTreeMap::new(),
-            types: None,
+            types: BTreeMap::new(),
             asks: BTreeMap::new(),
             grants: BTreeMap::new(),
             buried: BTreeMap::new(),
@@ -146,14 +167,32 @@
     pub fn job(&self, id: &JobId) -> Option<&JobEntry> {
         self.jobs.get(id)
     }
+    /// Unfinished jobs, without those that are cancelled because a job before them is.
     pub fn active(&self) -> impl Iterator<Item = &ActiveJob> {
         self.active.iter().filter_map(|id| match self.jobs.get(id) {
-            Some(JobEntry::Active(job)) => Some(&**job),
+            Some(JobEntry::Active(job)) if self.chain.standing(id) != Standing::Doomed => {
+                Some(&**job)
+            }
             _ => None,
         })
     }
-    pub fn active_count(&self) -> usize {
-        self.active.len()
+    /// What a job's user is told: an unfinished one after a cancelled one is cancelled, whether
+    /// or not its own record says so yet.
+    pub fn final_phase(&self, id: &JobId) -> Option<(RecordPhase, u32)> {
+        match self.jobs.get(id)? {
+            JobEntry::Final { phase, done } => Some((*phase, *done)),
+            JobEntry::Active(job) => (self.chain.standing(id) == Standing::Doomed)
+                .then_some((RecordPhase::Cancelled, job.done_count)),
+        }
+    }
+    /// The cloud's machine types, if every part of them is known.
+    pub fn types(&self) -> Option<MachineTypes> {
+        let parts = self.types.get(&0)?.value.parts.max(1);
+        let mut types = Vec::new();
+        for n in 0..parts {
+            types.extend(self.types.get(&n)?.value.types.iter().cloned());
+        }
+        Some(MachineTypes { types, parts: 0 })
     }
     /// The owner of a role, if its session lives.
     pub fn owner(&self, role: Role) -> Option<&Member> {
@@ -226,25 +265,27 @@
                 }
             }
             Input::Own {
-                key,
-                value: Some(value),
+                changes: own,
                 version,
             } => {
-                self.put(&key, value, version, &mut changes);
-            }
-            Input::Own {
-                key,
-                value: None,
-                version,
-            } => {
-                if let Some(parsed) = Key::parse(&key) {
-                    self.delete(parsed, version, &mut changes);
-                    if version > self.revision {
-                        self.buried.insert(key, version);
+                for (key, value) in own {
+                    if let Some(value) = value {
+                        self.put(&key, value, version, &mut changes);
+                    } else if let Some(parsed) = Key::parse(&key) {
+                        self.delete(parsed, version, &mut changes);
+                        if version > self.revision {
+                            self.buried.insert(key, version);
+                        }
                     }
                 }
             }
         }
+        if self.phase == Phase::Following {
+            for id in std::mem::take(&mut self.between) {
+                self.hosts.remove(&id);
+                changes.push(Change::Host(id));
+            }
+        }
         changes
     }
 
@@ -282,6 +323,8 @@
             Key::Hosts(n) => read(value).map(|block: HostBlock| {
                 if self.blocks.get(&n).is_none_or(|v| version > *v) {
                     self.blocks.insert(n, version);
+                    let bytes = serde_json::to_vec(&block).map_or(0, |b| b.len());
+                    self.block_bytes.insert(n, bytes);
                     self.put_block(n, block, version, changes);
                 }
             }),
@@ -304,15 +347,22 @@
                     changes.push(Change::Ask(keeper));
                 }
             }),
+            Key::Format(member) => read(value).map(|value| {
+                if newer(self.formats.get(&member), version) {
+                    let kept = Kept { value, version };
+                    self.formats.insert(member.clone(), kept);
+                    changes.push(Change::Format(member));
+                }
+            }),
             Key::Grant(p, keeper) => read(value).map(|value| {
                 if newer(self.grants.get(&(p, keeper.clone())), version) {
                     self.grants.insert((p, keeper), Kept { value, version });
                     changes.push(Change::Grant);
                 }
             }),
-            Key::Types => read(value).map(|value| {
-                if newer(self.types.as_ref(), version) {
-                    self.types = Some(Kept { value, version });
+            Key::Types(part) => read(value).map(|value| {
+                if newer(self.types.get(&part), version) {
+                    self.types.insert(part, Kept { value, version });
                     changes.push(Change::Types);
                 }
             }),
@@ -330,17 +380,14 @@
         version: Revision,
         changes: &mut Vec<Change>,
     ) {
-        let gone: Vec<HostId> = self
+        let gone = self
             .hosts
             .iter()
             .filter(|(id, k)| k.block == n && !block.hosts.contains_key(*id))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in gone {
-            self.hosts.remove(&id);
-            changes.push(Change::Host(id));
-        }
+            .map(|(id, _)| id.clone());
+        self.between.extend(gone);
         for (id, value) in block.hosts {
+            self.between.remove(&id);
             let same = |k: &KeptHost| k.block == n && k.value == value;
             if !self.hosts.get(&id).is_some_and(same) {
                 let kept = KeptHost {
@@ -356,7 +403,8 @@
 
     /// What a block holds.
     pub fn block(&self, n: u32) -> HostBlock {
-        let hosts = self.hosts.iter().filter(|(_, k)| k.block == n);
+        let here = |(id, k): &(&HostId, &KeptHost)| k.block == n && !self.between.contains(*id);
+        let hosts = self.hosts.iter().filter(here);
         HostBlock {
             hosts: hosts.map(|(id, k)| (id.clone(), k.value.clone())).collect(),
         }
@@ -369,6 +417,7 @@
         version: Revision,
         changes: &mut Vec<Change>,
     ) {
+        let mut related = Vec::new();
         match self.jobs.get(&id) {
             // Final phases are final.
             Some(JobEntry::Final { .. }) => return,
@@ -377,7 +426,29 @@
         }
         let entry = match (record.phase, record.request) {
             (RecordPhase::Active, Some(request)) => {
-                self.active.insert(id.clone());
+                if self.active.insert(id.clone()) {
+                    let terms = Terms {
+                        due: request
+                            .deadline
+                            .map(|d| record.submitted.unwrap_or_default() + d),
+                        span: request.estimate,
+                        priority: request.priority,
+                    };
+                    let jobs = &self.jobs;
+                    let fate = |id: &JobId| match jobs.get(id) {
+                        Some(JobEntry::Final { phase, .. }) => match phase {
+                            RecordPhase::Done => Fate::Done,
+                            _ => Fate::Cancelled,
+                        },
+                        _ => Fate::Open,
+                    };
+                    related.extend(self.chain.apply(chain::Input::Accepted {
+                        id: &id,
+                        needs: &request.waits_on,
+                        terms,
+                        fate: &fate,
+                    }));
+                }
                 JobEntry::Active(Box::new(ActiveJob {
                     request: match self.jobs.get(&id) {
                         Some(JobEntry::Active(old)) => old.request.clone(),
@@ -393,6 +464,14 @@
             (RecordPhase::Active, None) => return,
             (phase, _) => {
                 self.active.remove(&id);
+                // What was called cancelled stays so, whatever a controller wrote that did not
+                // know of the job before it.
+                let phase = match self.chain.standing(&id) {
+                    Standing::Doomed => RecordPhase::Cancelled,
+                    _ => phase,
+                };
+                let done = phase == RecordPhase::Done;
+                related.extend(self.chain.apply(chain::Input::Ended { id: &id, done }));
                 JobEntry::Final {
                     phase,
                     done: record.done_count,
@@ -400,7 +479,11 @@
             }
         };
         self.jobs.insert(id.clone(), entry);
-        changes.push(Change::Job(id));
+        changes.push(Change::Job(id.clone()));
+        changes.extend(related.into_iter().map(|output| match output {
+            Output::Released(other) => Change::Released(other),
+            Output::Doomed(other) | Output::Claimed(other) => Change::Related(other),
+        }));
     }
 
     fn delete(&mut self, key: Key, version: Revision, changes: &mut Vec<Change>) {
@@ -408,6 +491,7 @@
             Key::Hosts(n) => {
                 if self.blocks.get(&n).is_some_and(|v| version > *v) {
                     self.blocks.remove(&n);
+                    self.block_bytes.remove(&n);
                     self.put_block(n, HostBlock::default(), version, changes);
                 }
             }
@@ -438,8 +522,8 @@
                     self.grants.remove(&key);
                 }
             }
-            // Jobs are never deleted, the types neither.
-            Key::Job(_) | Key::Types => {}
+            // Jobs are never deleted, the types and formats neither.
+            Key::Job(_) | Key::Format(_) | Key::Types(_) => {}
         }
     }
 }
--- a/crates/jasperhill-control/src/roles.rs
+++ b/crates/jasperhill-control/src/roles.rs
@@ -5,7 +5,7 @@
     controller::{Inner, State},
     store::{Urgency, Written, guard, put},
 };
-use jasperhill_sched::Partition;
+use jasperhill_sched::{Partition, job::Gate};
 use jasperhill_wire::{
     Micros, Revision,
     record::{Role, RoleRecord, role_key, session_key},
@@ -128,7 +128,15 @@
                         let submitted = self.clock.steady(job.submitted);
                         // Revision 0: old enough to be running anywhere.
                         let trust = (job.failing, now);
-                        part.upsert_job(&job.request, Revision(0), submitted, &job.finished, trust);
+                        let place = self.place_of(state, job);
+                        // A job that waits for others now was never started by a controller
+                        // that knows of that.
+                        let created = match place.gate {
+                            Gate::Waiting if state.upgrade.is_complete() => Revision(u64::MAX),
+                            _ => Revision(0),
+                        };
+                        part.upsert_job(&job.request, created, submitted, &job.finished, trust);
+                        part.place_job(&job.request.id, place);
                     }
                 }
                 for (id, kept) in &state.mirror.hosts {
--- a/crates/jasperhill-control/src/settings.rs
+++ b/crates/jasperhill-control/src/settings.rs
@@ -58,7 +58,10 @@
     pub cancel: Micros,
     pub state_rps: f64,
     pub state_write_rps: f64,
+    /// What a value may hold, now and later.
     pub value_bytes: usize,
+    /// What a value may hold for now: host blocks that earlier versions filled so far.
+    pub value_bytes_now: usize,
     pub txn_ops: usize,
     pub cloud_rps: f64,
     pub list_lag: Micros,
@@ -138,6 +141,69 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: u32,
+    /// The limits from some moment on, without notice; what is absent stays as it is.
+    #[serde(default)]
+    next: RawNext,
+}
+#[derive(Default, Deserialize)]
+struct RawNext {
+    #[serde(default)]
+    rps: Option<f64>,
+    #[serde(default)]
+    write_rps: Option<f64>,
+    #[serde(default)]
+    value_kb: Option<f64>,
+    #[serde(default)]
+    txn_ops: Option<u32>,
+}
+
+/// Limits of the state service.
+struct Limits {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: u32,
+}
+
+impl Limits {
+    fn checked(self, at: &str) -> Result<Self, SettingsError> {
+        positive(&format!("{at}.rps"), self.rps)?;
+        positive(&format!("{at}.write_rps"), self.write_rps)?;
+        let field = format!("{at}.value_kb");
+        if positive(&field, self.value_kb)? < 2.0 {
+            return bad(field, "must be at least 2");
+        }
+        if self.txn_ops < 4 {
+            return bad(format!("{at}.txn_ops"), "must be at least 4");
+        }
+        Ok(self)
+    }
+}
+
+impl RawState {
+    /// The smaller of the present limits and the coming ones: what is written keeps within both.
+    fn limits(&self) -> Result<Limits, SettingsError> {
+        let now = Limits {
+            rps: self.rps,
+            write_rps: self.write_rps,
+            value_kb: self.value_kb,
+            txn_ops: self.txn_ops,
+        }
+        .checked("params.state")?;
+        let next = Limits {
+            rps: self.next.rps.unwrap_or(now.rps),
+            write_rps: self.next.write_rps.unwrap_or(now.write_rps),
+            value_kb: self.next.value_kb.unwrap_or(now.value_kb),
+            txn_ops: self.next.txn_ops.unwrap_or(now.txn_ops),
+        }
+        .checked("params.state.next")?;
+        Ok(Limits {
+            rps: now.rps.min(next.rps),
+            write_rps: now.write_rps.min(next.write_rps),
+            value_kb: now.value_kb.min(next.value_kb),
+            txn_ops: now.txn_ops.min(next.txn_ops),
+        })
+    }
 }
 #[derive(Deserialize)]
 struct RawCloud {
@@ -248,13 +314,7 @@
                 "must exceed lease_s by more than 3 seconds",
             );
         }
-        if p.state.txn_ops < 4 {
-            return bad("params.state.txn_ops", "must be at least 4");
-        }
-        let value_kb = positive("params.state.value_kb", p.state.value_kb)?;
-        if value_kb < 2.0 {
-            return bad("params.state.value_kb", "must be at least 2");
-        }
+        let limits = p.state.limits()?;
         Ok(Self {
             member: Member::new(member.as_str()),
             site: name("site", &raw.site)?,
@@ -276,10 +336,11 @@
             gang_wait: seconds("params.workers.gang_wait_s", w.gang_wait_s)?,
             gang_peer: seconds("params.workers.gang_peer_s", w.gang_peer_s)?,
             cancel,
-            state_rps: positive("params.state.rps", p.state.rps)?,
-            state_write_rps: positive("params.state.write_rps", p.state.write_rps)?,
-            value_bytes: (value_kb.min(64.0) * 1024.0) as usize,
-            txn_ops: p.state.txn_ops as usize,
+            state_rps: limits.rps,
+            state_write_rps: limits.write_rps,
+            value_bytes: (limits.value_kb.min(64.0) * 1024.0) as usize,
+            value_bytes_now: (p.state.value_kb.min(64.0) * 1024.0) as usize,
+            txn_ops: limits.txn_ops as usize,
             cloud_rps: positive("params.cloud.rps", p.cloud.rps)?,
             list_lag: Micros::from_secs_f64(p.cloud.list_lag_s.clamp(0.0, 3_600.0)),
             max_connections: p.quota.max_connections.unwrap_or(1_000) as usize,
--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -10,7 +10,9 @@
 use jasperhill_http::{ClientError, Method, Request, Response};
 use jasperhill_wire::{
     Member, Micros, Revision,
-    record::{ROOT, RoleRecord, SessionRecord, role_key, session_key},
+    record::{
+        FORMAT, FormatRecord, ROOT, RoleRecord, SessionRecord, format_key, role_key, session_key,
+    },
     state::{Change, Guard, LeaseAnswer, Listing, Txn, TxnAnswer, WatchAnswer},
 };
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
@@ -25,6 +27,8 @@
     Role,
     Cancel,
     Accept,
+    /// A finished job that others wait for.
+    Release,
     Finish,
     Rest,
 }
@@ -53,6 +57,10 @@
 pub(crate) struct Writer {
     queue: Vec<Op>,
     bucket: Bucket,
+    /// Changes of one transaction, at most: falls when the state service takes no more.
+    ops_max: usize,
+    /// How long to pause after the next refusal for the rate; grows while they go on.
+    pause: Micros,
 }
 
 /// More waiting writes than this are refused at once.
@@ -67,12 +75,17 @@
 /// the rest is for writes and leases.
 const WATCH_SHARE: f64 = 0.3;
 const BARRIER_SHARE: f64 = 0.35;
+/// The pause after a refusal for the rate, and the longest after many in a row.
+const PAUSE: Micros = Micros::from_millis(150);
+const PAUSE_MAX: Micros = Micros::from_millis(1_200);
 
 impl Writer {
-    pub fn new(bucket: Bucket) -> Self {
+    pub fn new(bucket: Bucket, ops_max: usize) -> Self {
         Self {
             queue: Vec::new(),
             bucket,
+            ops_max,
+            pause: PAUSE,
         }
     }
     /// Changes a second.
@@ -154,8 +167,8 @@
             let fits = batch.is_empty()
                 || (!batch[0].alone
                     && !op.alone
-                    && puts + op.changes.len() <= self.settings.txn_ops.min(afford.max(4))
-                    && conds + op.guards.len() <= self.settings.txn_ops * 4
+                    && puts + op.changes.len() <= state.writer.ops_max.min(afford.max(4))
+                    && conds + op.guards.len() <= state.writer.ops_max * 4
                     && bytes + op.bytes <= TXN_BYTES
                     && op
                         .changes
@@ -235,6 +248,9 @@
         let answer = self
             .call(self.settings.state, request, Micros::from_millis(2_500))
             .await;
+        if answer.as_ref().is_ok_and(|r| r.status == 200) {
+            self.state.borrow_mut().writer.pause = PAUSE;
+        }
         match answer {
             Ok(r) if r.status == 200 => match serde_json::from_slice::<TxnAnswer>(&r.body) {
                 Ok(answer) => {
@@ -261,43 +277,68 @@
                 }
                 self.requeue(kept);
             }
-            Ok(r) if r.status == 400 => {
-                tracing::warn!(body = %String::from_utf8_lossy(&r.body), "a write was refused");
-                if batch.len() == 1 {
-                    for op in batch {
-                        let _ = op.reply.send(Written::Conflict);
-                    }
-                } else {
-                    let mut batch = batch;
-                    batch.iter_mut().for_each(|o| o.alone = true);
-                    self.requeue(batch);
-                }
-            }
+            Ok(r) if r.status == 400 => self.refused(batch, &r.body),
             Ok(r) if r.status == 429 || r.status == 503 => {
-                tracing::debug!(status = r.status, "a write has to wait");
+                let pause = {
+                    let writer = &mut self.state.borrow_mut().writer;
+                    let pause = writer.pause;
+                    if r.status == 429 {
+                        writer.pause = pause.scale(2.0).min(PAUSE_MAX);
+                    }
+                    pause
+                };
+                let first = batch.first().and_then(|o| o.changes.first());
+                let key = first.map_or("", Change::key);
+                tracing::debug!(status = r.status, key, "a write has to wait");
                 self.requeue(batch);
-                sleep(Duration::from_millis(150)).await;
+                sleep(std_time(pause)).await;
             }
             Err(ClientError::NotSent) => {
                 self.requeue(batch);
-                sleep(Duration::from_millis(150)).await;
+                sleep(std_time(PAUSE)).await;
             }
             _ => unknown(batch),
         }
     }
 
-    fn applied(&self, op: Op, revision: Revision) {
-        for change in op.changes {
-            let (key, value) = match change {
-                Change::Put { key, value, .. } => (key, Some(value)),
-                Change::Delete { key } => (key, None),
+    /// The state service takes no such transaction: a lease that is over, or more than it
+    /// takes now. Nothing was executed. Guards against taking a write that is merely too large
+    /// for a conflict, and against sending it again and again.
+    fn refused(&self, mut batch: Vec<Op>, why: &[u8]) {
+        let why = String::from_utf8_lossy(why);
+        let writer = &mut self.state.borrow_mut().writer;
+        let changes: usize = batch.iter().map(|o| o.changes.len()).sum();
+        if batch.len() > 1 {
+            // It may be one of them, or all together: each alone, and smaller ones from now on.
+            writer.ops_max = (changes / 2).clamp(4, writer.ops_max.max(4));
+            tracing::info!(changes, most = writer.ops_max, %why, "a transaction was refused");
+            batch.iter_mut().for_each(|o| o.alone = true);
+            writer.queue.splice(0..0, batch);
+            writer.queue.sort_by_key(|o| o.urgency);
+            return;
+        }
+        let over = why.contains("no such lease");
+        for op in batch {
+            let key = op.changes.first().map_or("", Change::key);
+            tracing::warn!(key, changes, bytes = op.bytes, %why, "a write was refused");
+            let fate = if over {
+                Written::Conflict
+            } else {
+                Written::NotDone
             };
-            self.apply_mirror(mirror::Input::Own {
-                key,
-                value,
-                version: revision,
-            });
+            let _ = op.reply.send(fate);
         }
+    }
+
+    fn applied(&self, op: Op, revision: Revision) {
+        let changes = op.changes.into_iter().map(|change| match change {
+            Change::Put { key, value, .. } => (key, Some(value)),
+            Change::Delete { key } => (key, None),
+        });
+        self.apply_mirror(mirror::Input::Own {
+            changes: changes.collect(),
+            version: revision,
+        });
         let _ = op.reply.send(Written::Done(revision));
     }
 
@@ -526,8 +567,9 @@
         };
         let me = &self.settings.member;
         let key = session_key(me);
-        let (old, roles) = {
+        let (old, told, roles) = {
             let state = self.state.borrow();
+            let told = state.mirror.formats.get(me).map(|k| k.value.format);
             let old = state.mirror.sessions.get(me).cloned();
             let roles: Vec<_> = state
                 .mirror
@@ -536,16 +578,25 @@
                 .filter(|(_, k)| &k.value.owner == me)
                 .map(|(role, k)| (*role, k.version))
                 .collect();
-            (old, roles)
+            (old, told, roles)
         };
         let mut guards = vec![guard(&key, old.as_ref().map_or(Revision(0), |k| k.version))];
-        let value = serde_json::to_value(SessionRecord { lease }).unwrap_or_default();
+        let session = SessionRecord {
+            lease,
+            format: FORMAT,
+        };
+        let value = serde_json::to_value(session).unwrap_or_default();
         let mut changes = vec![Change::Put {
             key: key.clone(),
             value,
             lease: Some(lease),
         }];
-        for (role, version) in roles.into_iter().take(self.settings.txn_ops - 1) {
+        // Outlasts the session: an earlier version that comes back in its place writes a session
+        // without a format, and counts by that.
+        if told != Some(FORMAT) {
+            changes.push(put(format_key(me), &FormatRecord { format: FORMAT }));
+        }
+        for (role, version) in roles.into_iter().take(self.settings.txn_ops - 2) {
             guards.push(guard(role_key(role), version));
             changes.push(put(
                 role_key(role),
--- /dev/null
+++ b/crates/jasperhill-control/src/upgrade.rs
@@ -0,0 +1,100 @@
+//! Whether every member is known to understand what this version writes. Until then nothing is
+//! written that an earlier version could not take. Every change goes through [`Upgrade::apply`].
+
+use jasperhill_wire::{
+    Member,
+    record::{FORMAT, FormatRecord, SessionRecord},
+};
+use std::collections::BTreeMap;
+
+use crate::mirror::Kept;
+
+/// Where the deployment stands between two versions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Upgrade {
+    /// The mirror is not whole: nothing can be said.
+    #[default]
+    Unknown,
+    /// Some member is of an earlier version, or may be.
+    Mixed,
+    /// Every member's session, or its last one, was of this version.
+    Complete,
+}
+
+/// What the store says of the members.
+pub struct Seen<'a> {
+    pub synced: bool,
+    pub members: &'a [Member],
+    pub sessions: &'a BTreeMap<Member, Kept<SessionRecord>>,
+    pub formats: &'a BTreeMap<Member, Kept<FormatRecord>>,
+}
+
+impl Upgrade {
+    /// The one function that changes it. True if it has changed.
+    pub fn apply(&mut self, seen: &Seen<'_>) -> bool {
+        // A live session speaks for the process that runs; without one, the last that ran. An
+        // earlier version that came back has a session that says nothing, which counts as old.
+        let understands = |m: &Member| {
+            let session = seen.sessions.get(m).map(|k| k.value.format);
+            let last = || seen.formats.get(m).map(|k| k.value.format);
+            session.or_else(last).unwrap_or(0) >= FORMAT
+        };
+        let to = if !seen.synced {
+            Self::Unknown
+        } else if seen.members.iter().all(understands) {
+            Self::Complete
+        } else {
+            Self::Mixed
+        };
+        std::mem::replace(self, to) != to
+    }
+
+    pub fn is_complete(self) -> bool {
+        self == Self::Complete
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use jasperhill_wire::Revision;
+
+    fn kept<T>(value: T) -> Kept<T> {
+        Kept {
+            value,
+            version: Revision(1),
+        }
+    }
+
+    /// Absent means old; a session of an earlier version outweighs what its member once knew.
+    #[test]
+    fn it_is_complete_only_while_every_member_is_known_to_be_new() {
+        let members: Vec<Member> = ["a", "b"].map(Member::new).to_vec();
+        let (mut sessions, mut formats) = (BTreeMap::new(), BTreeMap::new());
+        let mut upgrade = Upgrade::default();
+        let session = |format| kept(SessionRecord { lease: 1, format });
+        let mut look = |sessions: &_, formats: &_, synced| {
+            upgrade.apply(&Seen {
+                synced,
+                members: &members,
+                sessions,
+                formats,
+            });
+            upgrade
+        };
+        assert_eq!(look(&sessions, &formats, false), Upgrade::Unknown);
+        sessions.insert("a".into(), session(1));
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Mixed);
+        sessions.insert("b".into(), session(0));
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Mixed);
+        sessions.insert("b".into(), session(1));
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Complete);
+        // Its session ends: what it last was counts, if it said so.
+        sessions.remove(&Member::new("b"));
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Mixed);
+        formats.insert("b".into(), kept(FormatRecord { format: 1 }));
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Complete);
+        sessions.insert("b".into(), session(0));
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Mixed);
+    }
+}
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -1,17 +1,17 @@
 //! What users ask: submissions, polls, cancellations, readiness.
 
 use crate::{
-    controller::{Inner, Refused},
+    controller::{Inner, Refused, State},
     mirror::JobEntry,
     store::{Urgency, Written, guard, put},
 };
 use jasperhill_http::{Method, Request, Response};
-use jasperhill_sched::{Verdict, config::impossible};
+use jasperhill_sched::{Verdict, chain::Standing, config::impossible};
 use jasperhill_wire::{
     JobId, Member, Micros, Revision,
     mesh::{Counts, MeshAnswer, MeshRequest},
     record::{JobRecord, RecordPhase, Role, job_key, role_key},
-    user::{ErrorBody, JobAnswer, JobPhase, JobRequest, JobStatus},
+    user::{ErrorBody, JobAnswer, JobPhase, JobRequest, JobStatus, Shape},
 };
 use std::rc::Rc;
 
@@ -19,6 +19,8 @@
 const RETRY_S: u32 = 1;
 /// How soon a refused job is worth another try: tasks end and machines come up all the time.
 const REFUSED_RETRY_S: u32 = 3;
+/// What a new record leaves for results, in bytes.
+const RESULTS_ROOM: usize = 160;
 /// Refused jobs that are remembered.
 const ASKED_MAX: usize = 2_000;
 
@@ -94,6 +96,9 @@
     /// The user's view of a known job; `None` if the mirror does not know it.
     fn known(&self, id: &JobId) -> Option<(JobPhase, u32, u32, bool)> {
         let state = self.state.borrow();
+        if let Some((phase, done)) = state.mirror.final_phase(id) {
+            return Some((phase_of(phase), done, 0, true));
+        }
         match state.mirror.job(id)? {
             JobEntry::Final { phase, done } => Some((phase_of(*phase), *done, 0, true)),
             JobEntry::Active(active) => {
@@ -114,9 +119,15 @@
     }
 
     async fn submit(self: &Rc<Self>, body: &[u8]) -> Response {
-        let request = match JobRequest::parse(body) {
+        let mut request = match JobRequest::parse(body) {
             Ok(request) => request,
-            Err(malformed) => return error(400, malformed.to_string()),
+            Err(malformed) => {
+                // A repeated submission gets its 200 whatever it says now.
+                return match JobRequest::parse_id(body).filter(|id| self.known(id).is_some()) {
+                    Some(id) => self.known_answer(&id).await,
+                    None => error(400, malformed.to_string()),
+                };
+            }
         };
         let id = request.id.clone();
         // Looked up before anything that can change: a repeated submission gets its 200.
@@ -148,6 +159,28 @@
                 None => error(422, why),
             };
         }
+        if !request.waits_on.is_empty()
+            && let Some(refusal) = self.check_needs(&mut request).await
+        {
+            return refusal;
+        }
+        if self.record_of(&request).is_none() {
+            if !self.barrier().await {
+                return later("state unknown");
+            }
+            if self.known(&id).is_some() {
+                return self.known_answer(&id).await;
+            }
+            // It could never be written down, now or later.
+            let field = match request.waits_on.len() {
+                0..8 => "body",
+                _ => "waits_on",
+            };
+            return error(422, format!("{field}: too long to be recorded"));
+        }
+        if self.is_doomed(&request) {
+            return self.outcome(&id, self.create(&request, None).await).await;
+        }
         if request.deadline.is_none() {
             return self.outcome(&id, self.create(&request, None).await).await;
         }
@@ -178,7 +211,15 @@
 
     async fn outcome(self: &Rc<Self>, id: &JobId, verdict: MeshAnswer) -> Response {
         match verdict {
-            MeshAnswer::Accepted => answer(201, id, JobPhase::Pending),
+            MeshAnswer::Accepted => {
+                // A job before it may be cancelled, and so is this one.
+                let phase = self.known(id).filter(|(.., over)| *over);
+                answer(
+                    201,
+                    id,
+                    phase.map_or(JobPhase::Pending, |(phase, ..)| phase),
+                )
+            }
             MeshAnswer::Known => self.known_answer(id).await,
             MeshAnswer::Refused { retry_after_s } => {
                 error(429, "would miss its deadline").retry_after(retry_after_s)
@@ -187,6 +228,76 @@
         }
     }
 
+    /// Whether the jobs that this one needs were ever accepted and are none that never end.
+    /// `None`: they are; what is done already is dropped from the list.
+    async fn check_needs(self: &Rc<Self>, request: &mut JobRequest) -> Option<Response> {
+        if !self.state.borrow().upgrade.is_complete() {
+            // An earlier version would start the job at once.
+            return Some(later("an earlier version still serves"));
+        }
+        if self.wrong_need(request).is_some() {
+            // Said only after a barrier that began after the question.
+            if !self.barrier().await {
+                return Some(later("state unknown"));
+            }
+            if self.known(&request.id).is_some() {
+                return Some(self.known_answer(&request.id).await);
+            }
+            if let Some(why) = self.wrong_need(request) {
+                return Some(error(422, format!("waits_on: {why}")));
+            }
+        }
+        let state = self.state.borrow();
+        let done = |id: &JobId| {
+            let phase = state.mirror.final_phase(id).map(|(phase, _)| phase);
+            phase == Some(RecordPhase::Done)
+        };
+        request.waits_on.retain(|id| !done(id));
+        None
+    }
+
+    fn wrong_need(&self, request: &JobRequest) -> Option<String> {
+        let state = self.state.borrow();
+        request
+            .waits_on
+            .iter()
+            .find_map(|id| match state.mirror.job(id) {
+                None => Some(format!("{id} was never accepted")),
+                Some(JobEntry::Active(job)) if job.request.shape == Shape::Service => {
+                    Some(format!("{id} is a service"))
+                }
+                Some(_) => None,
+            })
+    }
+
+    /// A job that it needs is cancelled.
+    fn is_doomed(&self, request: &JobRequest) -> bool {
+        let state = self.state.borrow();
+        request.waits_on.iter().any(|id| {
+            let phase = state.mirror.final_phase(id).map(|(phase, _)| phase);
+            phase == Some(RecordPhase::Cancelled)
+        })
+    }
+
+    /// The record of a new job; `None` if it would not fit, with room for some results.
+    fn record_of(&self, request: &JobRequest) -> Option<JobRecord> {
+        let doomed = self.is_doomed(request);
+        let record = JobRecord {
+            phase: if doomed {
+                RecordPhase::Cancelled
+            } else {
+                RecordPhase::Active
+            },
+            done_count: 0,
+            request: (!doomed).then(|| request.clone()),
+            submitted: (!doomed).then(|| self.clock.wall()),
+            finished: Vec::new(),
+            failing: 0,
+        };
+        let bytes = serde_json::to_vec(&record).map_or(usize::MAX, |b| b.len());
+        (bytes + RESULTS_ROOM <= self.settings.value_bytes).then_some(record)
+    }
+
     /// What a repeated submission gets.
     async fn known_answer(self: &Rc<Self>, id: &JobId) -> Response {
         if !self.barrier().await {
@@ -204,13 +315,8 @@
         request: &JobRequest,
         owner: Option<(u32, Revision)>,
     ) -> MeshAnswer {
-        let record = JobRecord {
-            phase: RecordPhase::Active,
-            done_count: 0,
-            request: Some(request.clone()),
-            submitted: Some(self.clock.wall()),
-            finished: Vec::new(),
-            failing: 0,
+        let Some(record) = self.record_of(request) else {
+            return MeshAnswer::Unavailable;
         };
         let key = job_key(&request.id);
         let mut guards = vec![guard(&key, Revision(0))];
@@ -218,9 +324,6 @@
             guards.push(guard(role_key(Role::Partition(p)), since));
         }
         let change = put(&key, &record);
-        if serde_json::to_vec(&record).map_or(0, |b| b.len()) + 64 > self.settings.value_bytes {
-            return MeshAnswer::Unavailable;
-        }
         match self
             .write(
                 Urgency::Accept,
@@ -270,16 +373,17 @@
                 }
                 _ => (1, boot.scale(1.3)),
             };
-            let Some(partition) = state.partitions.get(&p) else {
-                return MeshAnswer::Unavailable;
-            };
             if state.first_asked.len() > ASKED_MAX {
                 state
                     .first_asked
                     .retain(|_, r| now - r.last < Micros::from_secs(40));
             }
             let asked = state.first_asked.get(&request.id).map_or(now, |r| r.first);
-            let verdict = partition.admit(&request, asked, now, elastic);
+            let release = self.release_of(state, &request, now);
+            let Some(partition) = state.partitions.get(&p) else {
+                return MeshAnswer::Unavailable;
+            };
+            let verdict = partition.admit(&request, asked, now, release, elastic);
             if verdict == Verdict::Admit {
                 state.first_asked.remove(&request.id);
             } else if state.first_asked.len() <= ASKED_MAX {
@@ -311,6 +415,33 @@
         }
     }
 
+    /// How long until the jobs that this one needs are expected to be done: their estimates along
+    /// the longest path, less what has passed where they run already.
+    pub fn release_of(&self, state: &State, request: &JobRequest, now: Micros) -> Micros {
+        let rest = |id: &JobId| {
+            let Some(JobEntry::Active(job)) = state.mirror.job(id) else {
+                return Micros::ZERO;
+            };
+            let own = self
+                .partition_of(&job.request.team)
+                .and_then(|p| state.partitions.get(&p));
+            let estimate = own.map_or(job.request.estimate, |p| p.estimate(&job.request));
+            if state.mirror.chain.standing(id) != Standing::Ready {
+                return estimate;
+            }
+            let since = match state.released.get(id) {
+                Some(at) => *at,
+                None => self.clock.steady(job.submitted),
+            };
+            // Where it really stands is known to its owner alone.
+            match own.and_then(|p| p.jobs.get(id)) {
+                Some(job) if job.running.is_empty() => estimate,
+                _ => jasperhill_sched::forward::remaining(estimate, now - since),
+            }
+        };
+        state.mirror.chain.release(&request.waits_on, rest)
+    }
+
     async fn poll(self: &Rc<Self>, id: &str) -> Response {
         let Some(id) = JobId::parse(id) else {
             return error(404, "no such job");
@@ -374,12 +505,12 @@
         for _ in 0..4 {
             let found = {
                 let state = self.state.borrow();
+                if let Some((phase, _)) = state.mirror.final_phase(&id) {
+                    return answer(200, &id, phase_of(phase));
+                }
                 match state.mirror.job(&id) {
-                    Some(JobEntry::Final { phase, .. }) => {
-                        return answer(200, &id, phase_of(*phase));
-                    }
                     Some(JobEntry::Active(a)) => Some((a.version, a.done_count)),
-                    None => None,
+                    _ => None,
                 }
             };
             let Some((version, done_count)) = found else {
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -13,6 +13,7 @@
     HostId, JobId, Member, Micros, Revision,
     mesh::{MeshAnswer, MeshRequest},
     record::{HostRecord, HostUse, JobRecord, RecordPhase, Role, job_key, role_key},
+    user::JobRequest,
     worker::{Order, Report, orders_body, redirect_body},
 };
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc};
@@ -35,6 +36,10 @@
 const PARTIAL_LATEST: Micros = Micros::from_secs(10);
 const PARTIAL_MAX: usize = 4_000;
 
+/// Results being written at a time, and records of jobs that are cancelled with another.
+const SAVING_MAX: usize = 100;
+const CANCELLING_MAX: usize = 40;
+
 /// Machines taken on together, at most, and how long the first waits for more.
 const NEWCOMERS_MAX: usize = 500;
 const NEWCOMERS_WAIT: std::time::Duration = std::time::Duration::from_millis(100);
@@ -407,7 +412,9 @@
                     if job.ending.is_some() || !(partial || suspected) {
                         continue;
                     }
-                    if state.saving.contains(&id) || state.saving.len() > 100 {
+                    // What others wait for goes ahead.
+                    let needed = whole && state.mirror.chain.is_needed(&id);
+                    if state.saving.contains(&id) || (state.saving.len() > SAVING_MAX && !needed) {
                         partition.unsaved.insert(id);
                         continue;
                     }
@@ -438,6 +445,7 @@
     }
 
     async fn save(self: Rc<Self>, p: u32, id: JobId) {
+        let needed = self.state.borrow().mirror.chain.is_needed(&id);
         let prepared = {
             let state = self.state.borrow();
             match (state.partitions.get(&p), state.mirror.job(&id)) {
@@ -461,10 +469,10 @@
         };
         let mut saved = true;
         if let Some((guards, change, tasks, (phase, failing), since)) = prepared {
-            let urgency = if phase == RecordPhase::Done {
-                Urgency::Finish
-            } else {
-                Urgency::Rest
+            let urgency = match phase {
+                RecordPhase::Done if needed => Urgency::Release,
+                RecordPhase::Done => Urgency::Finish,
+                _ => Urgency::Rest,
             };
             let done = self
                 .write(urgency, guards, vec![change], Micros::from_secs(20))
@@ -518,7 +526,23 @@
         if job.is_gang() && failing == job.failing_saved {
             return None;
         }
-        let most = (self.settings.value_bytes.saturating_sub(1_800) / 7).max(2);
+        // Its tasks have run: all that it needed is done.
+        let request = JobRequest {
+            waits_on: Vec::new(),
+            ..(*active.request).clone()
+        };
+        let mut record = JobRecord {
+            phase: RecordPhase::Active,
+            done_count: job.request.tasks,
+            request: Some(request),
+            submitted: Some(active.submitted),
+            finished: Vec::new(),
+            failing,
+        };
+        // As many runs as there is room for, each as long as the number of tasks and a comma.
+        let used = serde_json::to_vec(&record).map_or(usize::MAX, |b| b.len()) + 32;
+        let each = job.request.tasks.to_string().len() + 1;
+        let most = self.settings.value_bytes.saturating_sub(used) / each;
         let finished = job.done.to_runs(most);
         let durable = jasperhill_sched::DoneSet::from_runs(job.request.tasks, &finished);
         let tasks: BTreeSet<u32> = job
@@ -527,20 +551,75 @@
             .copied()
             .filter(|i| !job.is_gang() && durable.contains(*i))
             .collect();
-        let record = JobRecord {
-            phase: RecordPhase::Active,
-            done_count: durable.count(),
-            request: Some((*active.request).clone()),
-            submitted: Some(active.submitted),
-            finished,
-            failing,
-        };
+        if durable.count() < active.done_count {
+            // The record, of a time with larger values, says more than now fits: what it says of
+            // tasks that workers have forgotten must not get lost. The rest stays with them.
+            return None;
+        }
+        record.done_count = durable.count();
+        record.finished = finished;
         Some((record, tasks))
     }
 
+    /// Writes what follows from cancelled jobs into the records of the unfinished jobs after
+    /// them, a few at a time. Everybody tells it from the records before: this only keeps it so
+    /// for those who will not see how it came about, and whoever owns the jobs next goes on.
+    pub fn write_cancelled(self: Rc<Self>) {
+        let mut due = Vec::new();
+        {
+            let mut guarded = self.state.borrow_mut();
+            let state = &mut *guarded;
+            for id in state.mirror.chain.doomed() {
+                if state.cancelling.len() >= CANCELLING_MAX {
+                    break;
+                }
+                if let Some(JobEntry::Active(job)) = state.mirror.job(id)
+                    && let Some(p) = self.partition_of(&job.request.team)
+                    && let Some(partition) = state.partitions.get(&p)
+                    && state.cancelling.insert(id.clone())
+                {
+                    let since = partition.since;
+                    due.push((p, since, id.clone(), job.version, job.done_count));
+                }
+            }
+        }
+        for (p, since, id, version, done_count) in due {
+            let inner = self.clone();
+            self.clone().spawn(async move {
+                let record = JobRecord {
+                    phase: RecordPhase::Cancelled,
+                    done_count,
+                    request: None,
+                    submitted: None,
+                    finished: Vec::new(),
+                    failing: 0,
+                };
+                let guards = vec![
+                    guard(role_key(Role::Partition(p)), since),
+                    guard(job_key(&id), version),
+                ];
+                let changes = vec![put(job_key(&id), &record)];
+                let limit = Micros::from_secs(10);
+                let done = inner.write(Urgency::Rest, guards, changes, limit).await;
+                inner.state.borrow_mut().cancelling.remove(&id);
+                match done {
+                    Written::Done(_) => {
+                        tracing::info!(job = %id, "cancelled with a job before it");
+                        inner.wake_pass.notify_one();
+                    }
+                    // Tried again with the next tick, by what the mirror then shows.
+                    _ => {
+                        inner.barrier().await;
+                    }
+                }
+            });
+        }
+    }
+
     /// Rewrites the records of hosts with orders in doubt, which raises their tokens: late
     /// direct orders then die at the worker.
     pub fn bump_tokens(self: &Rc<Self>) {
+        let now = self.now();
         let mut due = Vec::new();
         {
             let mut guarded = self.state.borrow_mut();
@@ -548,6 +627,7 @@
             for (p, partition) in &state.partitions {
                 for host in partition.hosts.values().filter(|h| h.needs_token()) {
                     if let Some(kept) = state.mirror.hosts.get(&host.id)
+                        && !state.book.is_refused(kept.block, now)
                         && state.bumping.insert(host.id.clone())
                     {
                         due.push((*p, partition.since, host.id.clone(), kept.clone()));
--- a/crates/jasperhill-sched/src/book.rs
+++ b/crates/jasperhill-sched/src/book.rs
@@ -137,7 +137,7 @@
         let Some(due) = job.due else { return };
         let due = if job.missed { pass.now + FOR_EVER } else { due };
         let taken = job.booked.len() as u64;
-        if !self.limit_allows(pass, &request, taken + 1) {
+        if !self.may_start(pass, &request, taken + 1) {
             return;
         }
         let zones = self.zone_rooms(job);
@@ -156,7 +156,7 @@
             })
             .collect();
         for more in 1..=BOOK_MAX {
-            if !self.limit_allows(pass, &request, taken + more) {
+            if !self.may_start(pass, &request, taken + more) {
                 return;
             }
             let Some(i) = self.jobs.get_mut(id).and_then(Job::next_pending) else {
@@ -206,7 +206,7 @@
         // The hosts of its own bookings that have room; few when the fleet is full.
         let mut homes: BTreeMap<&HostId, Option<usize>> = BTreeMap::new();
         for (i, home) in &booked {
-            if !self.limit_allows(pass, &request, 1) {
+            if !self.may_start(pass, &request, 1) {
                 return;
             }
             let at = *homes.entry(home).or_insert_with(|| {
@@ -234,7 +234,9 @@
     }
 
     /// The admission test for a job with a deadline that nobody has accepted yet.
-    /// `elastic`: how many more machines can be had, after how long.
+    /// `elastic`: how many more machines can be had, after how long. `release`: how long until
+    /// the jobs that it needs are expected to be done. The forward run is then played from that
+    /// moment on: what ends before it holds no room, and what is booked has not begun.
     ///
     /// Its tasks are equal and those on one host do not bear on another, so that the job
     /// passes if the hosts together can take as many as it has, whatever their order: each
@@ -244,6 +246,7 @@
         request: &JobRequest,
         submitted: Micros,
         now: Micros,
+        release: Micros,
         elastic: (u32, Micros),
     ) -> Verdict {
         let Some(deadline) = request.deadline else {
@@ -251,7 +254,8 @@
         };
         let due = submitted + deadline;
         let estimate = self.estimate(request);
-        if due - now <= estimate {
+        let at = now + release;
+        if due - at <= estimate {
             return Verdict::Refuse;
         }
         // What lies beyond the team's limit waits unadmitted: only the part within it is tested.
@@ -277,7 +281,7 @@
             if found >= tested {
                 return Verdict::Admit;
             }
-            let (can, misses) = self.takes(host, request, due, now, tested - found);
+            let (can, misses) = self.takes(host, request, due, at, tested - found);
             found += can;
             late += misses;
         }
@@ -286,7 +290,7 @@
         }
         // Work that is late already takes its part of the machines that could be rented now.
         let rented = self
-            .rentable(request, due, now, elastic)
+            .rentable(request, due, (now, at), elastic)
             .saturating_sub(late as u64);
         if u64::from(tested - found) <= rented {
             Verdict::Admit
@@ -326,7 +330,7 @@
         &self,
         request: &JobRequest,
         due: Micros,
-        now: Micros,
+        (now, at): (Micros, Micros),
         elastic: (u32, Micros),
     ) -> u64 {
         let spec = self
@@ -335,8 +339,7 @@
             .find(|s| request.allows_type(&s.kind) && request.each.fits(&s.capacity));
         let Some(spec) = spec else { return 0 };
         let estimate = self.estimate(request);
-        let ready = now
-            + elastic.1
+        let ready = (now + elastic.1).max(at)
             + fetch_time(request.image_gb, spec).scale(self.config.tuning.uncertainty);
         if ready + estimate > due {
             return 0;
--- /dev/null
+++ b/crates/jasperhill-sched/src/chain.rs
@@ -0,0 +1,577 @@
+//! Pipelines: which unfinished jobs may start, which wait for others, and which are cancelled
+//! because a job before them is. Owns what follows from the job records alone, so that every
+//! controller comes to the same answer whether or not anybody has written it yet. Every change
+//! goes through [`Chain::apply`].
+
+use jasperhill_wire::{JobId, Micros, user::Priority};
+use std::collections::{BTreeSet, HashMap};
+
+/// How an unfinished job stands to the jobs that it needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// All that it needs is done.
+    Ready,
+    Waiting,
+    /// A job before it is cancelled, and so is this one, for good.
+    Doomed,
+}
+
+/// What the records say of a job that another one needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Not seen yet, or unfinished.
+    Open,
+    Done,
+    Cancelled,
+}
+
+/// What of a job passes backwards to those before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// By the time of day, which means the same to all controllers.
+    pub due: Option<Micros>,
+    /// How long it takes once it may start.
+    pub span: Micros,
+    pub priority: Priority,
+}
+
+/// What the jobs after one leave it: by when it should be done, and the most important of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Claim {
+    pub due: Option<Micros>,
+    pub priority: Option<Priority>,
+}
+
+impl Claim {
+    fn with(self, other: Self) -> Self {
+        fn least<T: Ord>(a: Option<T>, b: Option<T>) -> Option<T> {
+            match (a, b) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
+            }
+        }
+        Self {
+            due: least(self.due, other.due),
+            priority: least(self.priority, other.priority),
+        }
+    }
+}
+
+pub enum Input<'a> {
+    /// The record of an unfinished job is seen for the first time. `fate` is what the records
+    /// say of another job, now.
+    Accepted {
+        id: &'a JobId,
+        needs: &'a [JobId],
+        terms: Terms,
+        fate: &'a dyn Fn(&JobId) -> Fate,
+    },
+    /// The record of a job has become final.
+    Ended { id: &'a JobId, done: bool },
+}
+
+/// What became of other jobs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// It waited and may start now.
+    Released(JobId),
+    Doomed(JobId),
+    /// The jobs after it leave it something else.
+    Claimed(JobId),
+}
+
+/// A job that others need, or that needs others.
+#[derive(Debug, Default)]
+struct Node {
+    /// What it needs that is not done.
+    left: BTreeSet<JobId>,
+    /// Unfinished jobs that need it.
+    after: BTreeSet<JobId>,
+    doomed: bool,
+    claim: Claim,
+    /// `None`: its own record has not been seen.
+    terms: Option<Terms>,
+}
+
+/// Claims passed on by one event, at most: they are only an order of preference.
+const CLAIMS_MAX: usize = 4_000;
+/// Jobs looked at for one estimate, at most.
+const LOOK_MAX: usize = 2_000;
+
+#[derive(Debug, Default)]
+pub struct Chain {
+    nodes: HashMap<JobId, Node>,
+    doomed: BTreeSet<JobId>,
+}
+
+impl Chain {
+    /// Of an unfinished job.
+    pub fn standing(&self, id: &JobId) -> Standing {
+        match self.nodes.get(id) {
+            Some(node) if node.doomed => Standing::Doomed,
+            Some(node) if !node.left.is_empty() => Standing::Waiting,
+            _ => Standing::Ready,
+        }
+    }
+
+    pub fn claim(&self, id: &JobId) -> Claim {
+        self.nodes.get(id).map(|n| n.claim).unwrap_or_default()
+    }
+
+    /// Unfinished jobs wait for this one.
+    pub fn is_needed(&self, id: &JobId) -> bool {
+        self.nodes.get(id).is_some_and(|n| !n.after.is_empty())
+    }
+
+    /// Unfinished jobs whose own records do not say yet that they are cancelled.
+    pub fn doomed(&self) -> impl Iterator<Item = &JobId> {
+        self.doomed.iter()
+    }
+
+    /// The one function that changes the chain.
+    pub fn apply(&mut self, input: Input<'_>) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        match input {
+            Input::Accepted {
+                id,
+                needs,
+                terms,
+                fate,
+            } => self.accepted(id, needs, terms, fate, &mut outputs),
+            Input::Ended { id, done } => self.ended(id, done, &mut outputs),
+        }
+        outputs
+    }
+
+    fn accepted(
+        &mut self,
+        id: &JobId,
+        needs: &[JobId],
+        terms: Terms,
+        fate: &dyn Fn(&JobId) -> Fate,
+        outputs: &mut Vec<Output>,
+    ) {
+        if needs.is_empty() {
+            if let Some(node) = self.nodes.get_mut(id) {
+                node.terms = Some(terms);
+            }
+            return;
+        }
+        let mut doomed = false;
+        let mut left = BTreeSet::new();
+        // A job can't need itself: it was not accepted before.
+        for need in needs.iter().filter(|n| *n != id) {
+            match fate(need) {
+                Fate::Done => {}
+                Fate::Cancelled => doomed = true,
+                Fate::Open => {
+                    let node = self.nodes.entry(need.clone()).or_default();
+                    node.after.insert(id.clone());
+                    doomed |= node.doomed;
+                    left.insert(need.clone());
+                }
+            }
+        }
+        let node = self.nodes.entry(id.clone()).or_default();
+        node.terms = Some(terms);
+        node.left = left;
+        if doomed {
+            self.doom(id, outputs);
+        } else {
+            self.pass_claims(id, outputs);
+        }
+    }
+
+    fn ended(&mut self, id: &JobId, done: bool, outputs: &mut Vec<Output>) {
+        self.doomed.remove(id);
+        let Some(node) = self.nodes.remove(id) else {
+            return;
+        };
+        for need in &node.left {
+            if let Some(before) = self.nodes.get_mut(need) {
+                before.after.remove(id);
+            }
+            self.reclaim(need, outputs);
+        }
+        for after in &node.after {
+            if !done {
+                self.doom(after, outputs);
+            } else if let Some(later) = self.nodes.get_mut(after)
+                && later.left.remove(id)
+                && later.left.is_empty()
+                && !later.doomed
+            {
+                outputs.push(Output::Released(after.clone()));
+            }
+        }
+    }
+
+    /// Cancels a job and all that need it, each once.
+    fn doom(&mut self, id: &JobId, outputs: &mut Vec<Output>) {
+        let mut next = vec![id.clone()];
+        while let Some(id) = next.pop() {
+            let Some(node) = self.nodes.get_mut(&id) else {
+                continue;
+            };
+            if std::mem::replace(&mut node.doomed, true) {
+                continue;
+            }
+            next.extend(node.after.iter().cloned());
+            self.doomed.insert(id.clone());
+            outputs.push(Output::Doomed(id));
+        }
+    }
+
+    /// What this job leaves those that it needs.
+    fn leaves(&self, id: &JobId) -> Claim {
+        let Some((node, terms)) = self.nodes.get(id).and_then(|n| Some((n, n.terms?))) else {
+            return Claim::default();
+        };
+        if node.doomed {
+            return Claim::default();
+        }
+        let own = Claim {
+            due: terms.due,
+            priority: Some(terms.priority),
+        };
+        let all = node.claim.with(own);
+        Claim {
+            due: all.due.map(|due| due - terms.span),
+            ..all
+        }
+    }
+
+    /// Carries a job's claim back to all before it.
+    fn pass_claims(&mut self, id: &JobId, outputs: &mut Vec<Output>) {
+        let mut next = vec![id.clone()];
+        let mut steps = 0;
+        while let Some(id) = next.pop() {
+            let left = self.leaves(&id);
+            let before = self.nodes.get(&id).map(|n| &n.left);
+            let before: Vec<JobId> = before.into_iter().flatten().cloned().collect();
+            for need in before {
+                steps += 1;
+                if steps > CLAIMS_MAX {
+                    return;
+                }
+                if let Some(node) = self.nodes.get_mut(&need)
+                    && node.claim.with(left) != node.claim
+                {
+                    node.claim = node.claim.with(left);
+                    outputs.push(Output::Claimed(need.clone()));
+                    next.push(need);
+                }
+            }
+        }
+    }
+
+    /// A job after this one is gone: what is left to claim of it and of those before it.
+    fn reclaim(&mut self, id: &JobId, outputs: &mut Vec<Output>) {
+        let mut next = vec![id.clone()];
+        let mut steps = 0;
+        while let Some(id) = next.pop() {
+            let Some(node) = self.nodes.get(&id) else {
+                continue;
+            };
+            steps += 1 + node.after.len();
+            if steps > CLAIMS_MAX {
+                return;
+            }
+            let claim = node
+                .after
+                .iter()
+                .fold(Claim::default(), |all, a| all.with(self.leaves(a)));
+            let idle = node.after.is_empty() && node.left.is_empty() && !node.doomed;
+            if claim != node.claim {
+                next.extend(node.left.iter().cloned());
+                outputs.push(Output::Claimed(id.clone()));
+            }
+            if idle {
+                self.nodes.remove(&id);
+            } else if let Some(node) = self.nodes.get_mut(&id) {
+                node.claim = claim;
+            }
+        }
+    }
+
+    /// How long until all that a job needs is expected to be done. `rest`: how long a job that may
+    /// run takes from now on, or any job once it may. Too many to look at: what was seen so far.
+    pub fn release(&self, needs: &[JobId], rest: impl Fn(&JobId) -> Micros) -> Micros {
+        let mut known: HashMap<&JobId, Micros> = HashMap::new();
+        let mut next: Vec<(&JobId, bool)> = needs.iter().map(|n| (n, false)).collect();
+        let mut looked = 0;
+        while let Some((id, seen)) = next.pop() {
+            if known.contains_key(id) {
+                continue;
+            }
+            let left = self.nodes.get(id).map(|n| &n.left);
+            looked += 1 + left.map_or(0, BTreeSet::len);
+            if !seen && looked <= LOOK_MAX && left.is_some_and(|l| !l.is_empty()) {
+                next.push((id, true));
+                next.extend(left.into_iter().flatten().map(|n| (n, false)));
+                continue;
+            }
+            let before = left.into_iter().flatten().filter_map(|n| known.get(n));
+            let before = before.copied().max().unwrap_or_default();
+            known.insert(id, before + rest(id));
+        }
+        let all = needs.iter().filter_map(|n| known.get(n));
+        all.copied().max().unwrap_or_default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeMap;
+
+    fn id(n: usize) -> JobId {
+        JobId::new(&format!("job-{n}"))
+    }
+
+    /// What happens to a job, in the order in which the service lets it happen.
+    #[derive(Clone, Debug)]
+    enum Event {
+        Submit(usize, Vec<usize>),
+        End(usize, bool),
+    }
+
+    /// A plain reading of the rules: every question walks the whole graph.
+    #[derive(Default)]
+    struct Plain {
+        needs: BTreeMap<usize, Vec<usize>>,
+        ended: BTreeMap<usize, bool>,
+    }
+
+    impl Plain {
+        fn cancelled(&self, n: usize) -> bool {
+            self.ended.get(&n) == Some(&false)
+                || (!self.ended.contains_key(&n)
+                    && self.needs[&n].iter().any(|m| self.cancelled(*m)))
+        }
+        fn standing(&self, n: usize) -> Standing {
+            if self.cancelled(n) {
+                Standing::Doomed
+            } else if self.needs[&n]
+                .iter()
+                .all(|m| self.ended.get(m) == Some(&true))
+            {
+                Standing::Ready
+            } else {
+                Standing::Waiting
+            }
+        }
+        fn due(&self, n: usize) -> Option<Micros> {
+            terms(n).due
+        }
+        /// What the unfinished jobs after this one leave it.
+        fn claim(&self, n: usize) -> Claim {
+            let open = |m: &usize| !self.ended.contains_key(m) && !self.cancelled(*m);
+            let after = self
+                .needs
+                .keys()
+                .filter(|m| open(m) && self.needs[m].contains(&n));
+            after.fold(Claim::default(), |all, m| {
+                let own = Claim {
+                    due: self.due(*m),
+                    priority: Some(terms(*m).priority),
+                };
+                let mut leaves = self.claim(*m).with(own);
+                leaves.due = leaves.due.map(|d| d - terms(*m).span);
+                all.with(leaves)
+            })
+        }
+    }
+
+    fn terms(n: usize) -> Terms {
+        let priorities = [Priority::Low, Priority::Normal, Priority::High];
+        Terms {
+            due: (n % 3 == 2).then(|| Micros::from_secs(1_000 + n as u64 * 7 % 50)),
+            span: Micros::from_secs(1 + n as u64 % 5),
+            priority: priorities[n % 3],
+        }
+    }
+
+    /// A history that keeps the rules: jobs name earlier ones, end once, and are done only when
+    /// they were ready.
+    fn history() -> impl Strategy<Value = Vec<Event>> {
+        proptest::collection::vec((any::<u8>(), any::<u16>(), any::<u16>()), 1..60).prop_map(
+            |steps| {
+                let (mut plain, mut events) = (Plain::default(), Vec::new());
+                for (kind, a, b) in steps {
+                    let jobs = plain.needs.len();
+                    if kind % 3 == 0 || jobs == 0 {
+                        let mut needs: Vec<usize> = [a, b]
+                            .iter()
+                            .take(usize::from(kind) / 3 % 3)
+                            .filter_map(|x| (usize::from(*x)).checked_rem(jobs))
+                            .collect();
+                        needs.sort_unstable();
+                        needs.dedup();
+                        plain.needs.insert(jobs, needs.clone());
+                        events.push(Event::Submit(jobs, needs));
+                    } else {
+                        let n = usize::from(a) % jobs;
+                        let done = kind % 3 == 1;
+                        if plain.ended.contains_key(&n)
+                            || (done && plain.standing(n) != Standing::Ready)
+                        {
+                            continue;
+                        }
+                        plain.ended.insert(n, done);
+                        events.push(Event::End(n, done));
+                    }
+                }
+                events
+            },
+        )
+    }
+
+    /// The records as one controller sees them: a final record may be the first it sees of a job.
+    #[derive(Default)]
+    struct Seen {
+        chain: Chain,
+        fates: BTreeMap<usize, Fate>,
+        outputs: Vec<Output>,
+    }
+
+    impl Seen {
+        fn see(&mut self, event: &Event) {
+            let fates = &self.fates;
+            let fate = |j: &JobId| {
+                let n: usize = j.as_str()[4..].parse().unwrap();
+                fates.get(&n).copied().unwrap_or(Fate::Open)
+            };
+            let outputs = match event {
+                Event::Submit(n, _) if fates.contains_key(n) => Vec::new(),
+                Event::Submit(n, needs) => {
+                    let needs: Vec<JobId> = needs.iter().map(|m| id(*m)).collect();
+                    self.chain.apply(Input::Accepted {
+                        id: &id(*n),
+                        needs: &needs,
+                        terms: terms(*n),
+                        fate: &fate,
+                    })
+                }
+                Event::End(n, done) => {
+                    let out = self.chain.apply(Input::Ended {
+                        id: &id(*n),
+                        done: *done,
+                    });
+                    let to = if *done { Fate::Done } else { Fate::Cancelled };
+                    self.fates.insert(*n, to);
+                    out
+                }
+            };
+            self.outputs.extend(outputs);
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            rng_seed: proptest::test_runner::RngSeed::Fixed(41),
+            failure_persistence: None,
+            cases: 400,
+            ..ProptestConfig::default()
+        })]
+        /// Whatever happens, and in whatever order the records are seen, every unfinished job
+        /// stands as the rules say, and nothing is kept of what is over.
+        #[test]
+        fn every_order_comes_to_what_the_rules_say(
+            events in history(),
+            shuffle in proptest::collection::vec(any::<u16>(), 60),
+        ) {
+            let mut plain = Plain::default();
+            let mut in_order = Seen::default();
+            for event in &events {
+                match event {
+                    Event::Submit(n, needs) => { plain.needs.insert(*n, needs.clone()); }
+                    Event::End(n, done) => { plain.ended.insert(*n, *done); }
+                }
+                in_order.see(event);
+                for n in plain.needs.keys().filter(|n| !plain.ended.contains_key(n)) {
+                    prop_assert_eq!(in_order.chain.standing(&id(*n)), plain.standing(*n), "{}", n);
+                }
+            }
+            // A release or a doom is told once, and only of what waited.
+            let mut told = BTreeSet::new();
+            for output in &in_order.outputs {
+                if let Output::Released(j) | Output::Doomed(j) = output {
+                    prop_assert!(told.insert(j.clone()), "{} told twice", j);
+                }
+            }
+            let mut other = Seen::default();
+            let mut order: Vec<usize> = (0..events.len()).collect();
+            order.sort_by_key(|i| shuffle[*i]);
+            for i in order {
+                other.see(&events[i]);
+            }
+            for seen in [&in_order, &other] {
+                for n in plain.needs.keys().filter(|n| !plain.ended.contains_key(n)) {
+                    prop_assert_eq!(seen.chain.standing(&id(*n)), plain.standing(*n), "{}", n);
+                }
+                let doomed: Vec<JobId> = seen.chain.doomed().cloned().collect();
+                let meant: BTreeSet<JobId> = plain.needs.keys()
+                    .filter(|n| !plain.ended.contains_key(n) && plain.cancelled(**n))
+                    .map(|n| id(*n)).collect();
+                prop_assert_eq!(doomed, meant.into_iter().collect::<Vec<_>>());
+                let over = plain.ended.keys().filter(|n| seen.chain.nodes.contains_key(&id(**n)));
+                prop_assert_eq!(over.count(), 0);
+            }
+            // Without cancellations, what passes backwards is what the graph says.
+            if plain.ended.values().all(|done| *done) {
+                for n in plain.needs.keys().filter(|n| !plain.ended.contains_key(n)) {
+                    prop_assert_eq!(in_order.chain.claim(&id(*n)), plain.claim(*n), "{}", n);
+                }
+            }
+        }
+    }
+
+    fn submit(chain: &mut Chain, n: usize, needs: &[usize]) -> Vec<Output> {
+        let needs: Vec<JobId> = needs.iter().map(|m| id(*m)).collect();
+        chain.apply(Input::Accepted {
+            id: &id(n),
+            needs: &needs,
+            terms: terms(n),
+            fate: &|_| Fate::Open,
+        })
+    }
+
+    /// A deep chain, a diamond and a fan cost no depth of the stack and are done with at once.
+    #[test]
+    fn deep_chains_and_wide_fans_are_cancelled_whole() {
+        let mut chain = Chain::default();
+        for n in 1..=20_000 {
+            submit(&mut chain, n, &[n - 1]);
+        }
+        for n in 20_001..=20_800 {
+            submit(&mut chain, n, &[20_000]);
+        }
+        submit(&mut chain, 20_801, &(20_001..=20_800).collect::<Vec<_>>());
+        let rest = chain.release(&[id(20_000)], |_| Micros(1));
+        assert!(rest >= Micros(1_000) && rest <= Micros(20_001));
+        let outputs = chain.apply(Input::Ended {
+            id: &id(0),
+            done: false,
+        });
+        assert_eq!(outputs.len(), 20_801);
+        assert_eq!(chain.doomed().count(), 20_801);
+    }
+
+    #[test]
+    fn the_wait_is_the_longest_path() {
+        let mut chain = Chain::default();
+        submit(&mut chain, 1, &[0]);
+        submit(&mut chain, 2, &[0]);
+        submit(&mut chain, 3, &[1, 2]);
+        let rest = |j: &JobId| Micros([5, 10, 30, 7][j.as_str()[4..].parse::<usize>().unwrap()]);
+        assert_eq!(chain.release(&[id(3)], rest), Micros(5 + 30 + 7));
+        chain.apply(Input::Ended {
+            id: &id(0),
+            done: true,
+        });
+        assert_eq!(chain.release(&[id(3)], rest), Micros(30 + 7));
+        assert_eq!(chain.release(&[], rest), Micros::ZERO);
+    }
+}
--- a/crates/jasperhill-sched/src/gang.rs
+++ b/crates/jasperhill-sched/src/gang.rs
@@ -25,7 +25,7 @@
         if !job.live.is_empty() || !job.unsaved.is_empty() {
             return;
         }
-        if !self.limit_allows(pass, &request, u64::from(request.tasks)) {
+        if !self.may_start(pass, &request, u64::from(request.tasks)) {
             return;
         }
         let mut best: Option<(u64, Vec<usize>)> = None;
--- a/crates/jasperhill-sched/src/job.rs
+++ b/crates/jasperhill-sched/src/job.rs
@@ -38,13 +38,37 @@
     pub ready: Micros,
 }
 
+/// Whether tasks of a job may start, as far as the jobs that it needs go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gate {
+    /// Some job that it needs is not done: it holds nothing, books nothing, displaces nobody.
+    Waiting,
+    Open,
+}
+
+/// How a job stands in its pipeline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub gate: Gate,
+    /// Since when it may start; its submission if it never waited.
+    pub since: Micros,
+    /// By when the jobs after it need it.
+    pub due: Option<Micros>,
+    /// The most important of them.
+    pub priority: Option<Priority>,
+}
+
 #[derive(Debug)]
 pub struct Job {
     pub request: Rc<JobRequest>,
     /// Revision at which its record was created; jobs newer than a takeover have no ghosts.
     pub created: Revision,
+    /// Its age counts from here: its submission, or when the last job that it needs was done.
     pub submitted: Micros,
     pub due: Option<Micros>,
+    pub gate: Gate,
+    /// What the jobs after it leave it.
+    left: (Option<Micros>, Option<Priority>),
     pub done: DoneSet,
     /// Finished, but not yet in the record.
     pub unsaved: BTreeSet<u32>,
@@ -89,6 +113,8 @@
             request,
             created,
             submitted,
+            gate: Gate::Open,
+            left: (None, None),
             done,
             unsaved: BTreeSet::new(),
             live: BTreeMap::new(),
@@ -109,6 +135,26 @@
         }
     }
 
+    /// The one function that changes how it stands in its pipeline. True if something has
+    /// changed.
+    pub fn stand(&mut self, place: Place) -> bool {
+        let left = (place.due, place.priority);
+        let moved = place.gate != self.gate;
+        if moved {
+            self.gate = place.gate;
+            self.submitted = place.since;
+        }
+        let changed = moved || left != self.left;
+        self.left = left;
+        changed
+    }
+
+    /// Its priority, or that of the most important job that needs it.
+    pub fn priority(&self) -> Priority {
+        let own = self.request.priority;
+        self.left.1.map_or(own, |p| p.min(own))
+    }
+
     pub fn step(&self, i: u32) -> TaskStep {
         if self.done.contains(i) {
             TaskStep::Done
@@ -200,7 +246,7 @@
     /// A deadline that can't be met any more (`missed`) is none: in deadline order it would
     /// go first and make those miss that still can be in time.
     pub fn rank(&self) -> (u8, u64, Priority, Micros) {
-        let p = self.request.priority;
+        let p = self.priority();
         let band = match p {
             // Behind everything else.
             _ if self.trust.is_suspect() => 3,
@@ -208,7 +254,8 @@
             Priority::High => 1,
             Priority::Normal | Priority::Low => 2,
         };
-        let due = self.due.filter(|_| !self.missed).map_or(u64::MAX, |d| d.0);
+        let due = [self.due.filter(|_| !self.missed), self.left.0];
+        let due = due.into_iter().flatten().min().map_or(u64::MAX, |d| d.0);
         (band, due, p, self.submitted)
     }
 
--- a/crates/jasperhill-sched/src/lib.rs
+++ b/crates/jasperhill-sched/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod book;
 pub mod boots;
+pub mod chain;
 pub mod config;
 pub mod done;
 pub mod drain;
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -4,7 +4,7 @@
 use crate::{
     config::{SchedConfig, Specs},
     host::{Host, HostInput, HostOutput, Source, TaskState},
-    job::{Ending, Job, TaskStep},
+    job::{Ending, Gate, Job, Place, TaskStep},
     trust::{self, Trust},
 };
 use jasperhill_wire::{
@@ -165,8 +165,17 @@
     /// A task of this job may be running unseen: it is older than the takeover, and some
     /// host that is not known yet is one that it could be on. A spot machine that was taken
     /// silently does not hold up work that never runs on such.
+    ///
+    /// Nor does it hold up a job that still waits for others: nobody has started that.
     pub(crate) fn is_haunted(&self, job: &Job, ghosts: &Ghosts) -> bool {
-        job.created <= self.since && ghosts.may_hold(&job.request)
+        job.gate == Gate::Open && job.created <= self.since && ghosts.may_hold(&job.request)
+    }
+
+    /// How a job stands in its pipeline.
+    pub fn place_job(&mut self, id: &JobId, place: Place) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            self.changed |= job.stand(place);
+        }
     }
 
     pub fn upsert_job(
@@ -301,7 +310,7 @@
                     && self
                         .jobs
                         .get(&task.job)
-                        .is_some_and(|j| task.index < j.request.tasks) =>
+                        .is_some_and(|j| task.index < j.request.tasks && j.gate == Gate::Open) =>
             {
                 self.unbook(&task.job, task.index);
                 self.set_step(task, TaskStep::Live(id.clone()));
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     host::{Host, HostInput, LISTED_MAX},
-    job::TaskStep,
+    job::{Gate, Job, TaskStep},
     partition::{Ghosts, Partition},
 };
 use jasperhill_wire::{
@@ -75,8 +75,8 @@
 }
 
 /// Work that may stop lesser work.
-pub(crate) fn is_urgent(request: &JobRequest) -> bool {
-    request.priority <= Priority::High
+pub(crate) fn is_urgent(job: &Job) -> bool {
+    job.priority() <= Priority::High
 }
 
 impl Partition {
@@ -137,6 +137,7 @@
             .values()
             .filter(|j| {
                 j.ending.is_none()
+                    && j.gate == Gate::Open
                     && (j.pending() > 0 || !j.booked.is_empty())
                     && !self.is_haunted(j, &pass.ghosts)
                     && now >= j.not_before
@@ -222,7 +223,13 @@
         }
     }
 
-    pub(crate) fn limit_allows(&self, pass: &Pass, request: &JobRequest, tasks: u64) -> bool {
+    /// So many more tasks may start or be booked: all that the job needs is done, and its team
+    /// stays within its limit.
+    pub(crate) fn may_start(&self, pass: &Pass, request: &JobRequest, tasks: u64) -> bool {
+        let open = |j: &Job| j.gate == Gate::Open;
+        if !self.jobs.get(&request.id).is_some_and(open) {
+            return false;
+        }
         let Some(team) = self.config.team(&request.team) else {
             return false;
         };
--- a/crates/jasperhill-sched/src/plain.rs
+++ b/crates/jasperhill-sched/src/plain.rs
@@ -60,6 +60,7 @@
         checkpoint_every: Micros::ZERO,
         save: Micros::ZERO,
         deadline: deadline.map(Micros::from_secs),
+        waits_on: Vec::new(),
     }
 }
 
@@ -212,7 +213,7 @@
     let Some(due) = job.due else { return };
     let due = if missed { pass.now + FOR_EVER } else { due };
     let mut taken = 0;
-    while part.limit_allows(pass, &request, taken + 1) {
+    while part.may_start(pass, &request, taken + 1) {
         let Some(i) = part.jobs.get_mut(id).and_then(Job::next_pending) else {
             return;
         };
@@ -299,7 +300,7 @@
         };
         let Some(i) = job.next_pending() else { return };
         let request = job.request.clone();
-        if !part.limit_allows(pass, &request, 1) {
+        if !part.may_start(pass, &request, 1) {
             return;
         }
         let job = &part.jobs[id];
@@ -357,7 +358,7 @@
         let submitted = NOW - Micros::from_secs(s.submitted_ago);
         let elastic = (machines, Micros::from_secs(20));
         let plainly = admit(&part, &s.request, submitted, elastic);
-        prop_assert_eq!(part.admit(&s.request, submitted, NOW, elastic), plainly);
+        prop_assert_eq!(part.admit(&s.request, submitted, NOW, Micros::ZERO, elastic), plainly);
     }
 
     #[test]
--- a/crates/jasperhill-sched/src/room.rs
+++ b/crates/jasperhill-sched/src/room.rs
@@ -45,7 +45,7 @@
                 } else {
                     1
                 };
-                let lower = other.request.priority > than && !other.is_service();
+                let lower = other.priority() > than && !other.is_service();
                 (lower && (whole || size == 1)).then(|| {
                     let (lost, grace) = if other.checkpoints() {
                         (other.request.save, other.request.save)
@@ -53,7 +53,7 @@
                         (now - t.running.unwrap_or(now), Micros::ZERO)
                     };
                     // The least important goes first; a start undone so soon was for nothing.
-                    let rank = u64::from(other.request.priority == Priority::Normal);
+                    let rank = u64::from(other.priority() == Priority::Normal);
                     let fresh = t.running.is_none_or(|r| now - r < FRESH);
                     let lost = lost
                         + Micros(MORE_IMPORTANT.0 * rank)
@@ -106,7 +106,7 @@
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
-        let request = job.request.clone();
+        let (request, priority) = (job.request.clone(), job.priority());
         let patience = self.config.patience(&request.class);
         let mut zones = zones.clone();
         for (host, _) in &job.making_room {
@@ -134,7 +134,7 @@
             }
             let (mut free, mut chosen, mut loss) = (slot.room, Vec::new(), Micros::ZERO);
             let mut grace = Micros::ZERO;
-            for victim in self.victims(host, request.priority, false, pass.now) {
+            for victim in self.victims(host, priority, false, pass.now) {
                 if request.each.fits(&free) {
                     break;
                 }
@@ -168,7 +168,7 @@
     /// The hosts are kept for it until it starts or the room has not come about in time.
     pub(crate) fn make_gang_room(&mut self, pass: &mut Pass, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
-        let request = job.request.clone();
+        let (request, priority) = (job.request.clone(), job.priority());
         if !job.making_room.is_empty() {
             return;
         }
@@ -216,7 +216,7 @@
                 });
             }
             let (mut go, mut loss, mut grace) = (Vec::new(), 0, Micros::ZERO);
-            for victim in self.victims(host, request.priority, true, pass.now) {
+            for victim in self.victims(host, priority, true, pass.now) {
                 if found >= request.tasks {
                     break;
                 }
--- a/crates/jasperhill-sched/src/suit.rs
+++ b/crates/jasperhill-sched/src/suit.rs
@@ -211,7 +211,7 @@
             return;
         }
         // The rest queues last: never ahead of admitted work that waits there.
-        let behind_none = !is_urgent(&request);
+        let behind_none = !is_urgent(job);
         let mut candidates = self.candidates(pass, job, behind_none);
         let mut zones = self.zone_rooms(job);
         let patience = self.config.patience(&request.class);
@@ -224,7 +224,7 @@
             }
             let Some(i) = job.next_pending() else { return };
             let (pending, making) = (job.pending() as usize, job.making_room.len());
-            if !self.limit_allows(pass, &request, 1) {
+            if !self.may_start(pass, &request, 1) {
                 return;
             }
             let best = self.best(pass, &mut candidates, &zones, (id, &request.each), i);
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -320,17 +320,32 @@
     let two_rounds = request("job-2", "array", 4, 1.0, Some(20.0));
     let hopeless = request("job-3", "array", 1, 1.0, Some(9.0));
     let none = (0, Micros::ZERO);
-    assert_eq!(part.admit(&fits, NOW, NOW, none), Verdict::Admit);
-    assert_eq!(part.admit(&two_rounds, NOW, NOW, none), Verdict::Refuse);
-    assert_eq!(part.admit(&hopeless, NOW, NOW, none), Verdict::Refuse);
+    assert_eq!(
+        part.admit(&fits, NOW, NOW, Micros::ZERO, none),
+        Verdict::Admit
+    );
+    assert_eq!(
+        part.admit(&two_rounds, NOW, NOW, Micros::ZERO, none),
+        Verdict::Refuse
+    );
+    assert_eq!(
+        part.admit(&hopeless, NOW, NOW, Micros::ZERO, none),
+        Verdict::Refuse
+    );
     // Machines that can be had in time count as well.
     assert_eq!(
-        part.admit(&two_rounds, NOW, NOW, (1, Micros::from_secs(5))),
+        part.admit(
+            &two_rounds,
+            NOW,
+            NOW,
+            Micros::ZERO,
+            (1, Micros::from_secs(5))
+        ),
         Verdict::Admit
     );
     // A retry does not get more time than the first try had.
     assert_eq!(
-        part.admit(&fits, NOW - Micros::from_secs(15), NOW, none),
+        part.admit(&fits, NOW - Micros::from_secs(15), NOW, Micros::ZERO, none),
         Verdict::Refuse
     );
 }
--- a/crates/jasperhill-wire/src/cloud.rs
+++ b/crates/jasperhill-wire/src/cloud.rs
@@ -29,6 +29,44 @@
 pub struct MachineTypes {
     #[serde(rename = "hosttypes")]
     pub types: Vec<MachineType>,
+    /// In the store: into how many records the list is split. 0: it is whole.
+    #[serde(rename = "of", default, skip_serializing_if = "is_zero")]
+    pub parts: u32,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+impl MachineTypes {
+    /// The list in parts that are no longer than `room` bytes each; `None` if one type alone is.
+    pub fn split(self, room: usize) -> Option<Vec<Self>> {
+        let bytes = |t: &[MachineType]| serde_json::to_vec(t).map_or(usize::MAX, |b| b.len());
+        let room = room.saturating_sub(40);
+        if bytes(&self.types) <= room {
+            return Some(vec![self]);
+        }
+        let mut parts: Vec<Self> = Vec::new();
+        let mut types: Vec<MachineType> = Vec::new();
+        for kind in self.types {
+            types.push(kind);
+            if bytes(&types) > room {
+                let last = types.pop()?;
+                if types.is_empty() {
+                    return None;
+                }
+                let types = std::mem::replace(&mut types, vec![last]);
+                parts.push(Self { types, parts: 0 });
+            }
+        }
+        if bytes(&types) > room {
+            return None;
+        }
+        parts.push(Self { types, parts: 0 });
+        let n = parts.len() as u32;
+        parts.iter_mut().for_each(|p| p.parts = n);
+        Some(parts)
+    }
 }
 
 #[derive(Clone, Debug, Serialize)]
--- a/crates/jasperhill-wire/src/fields.rs
+++ b/crates/jasperhill-wire/src/fields.rs
@@ -90,6 +90,14 @@
             .map(|v| Self::as_amount(field, v))
             .transpose()
     }
+    /// Missing or null means none.
+    pub fn opt_list(&self, field: &'static str) -> Result<&'a [Value], Malformed> {
+        match self.opt(field).map(Value::as_array) {
+            None => Ok(&[]),
+            Some(Some(list)) => Ok(list),
+            Some(None) => bad(field, "not a list"),
+        }
+    }
     pub fn list(&self, field: &'static str) -> Result<&'a [Value], Malformed> {
         match self.need(field)?.as_array() {
             Some(list) => Ok(list),
--- a/crates/jasperhill-wire/src/record.rs
+++ b/crates/jasperhill-wire/src/record.rs
@@ -17,6 +17,9 @@
 pub fn session_key(member: &Member) -> String {
     format!("jh/session/{member}")
 }
+pub fn format_key(member: &Member) -> String {
+    format!("jh/format/{member}")
+}
 /// A role that one controller holds at a time: a partition, or the fleet.
 pub fn role_key(role: Role) -> String {
     match role {
@@ -25,6 +28,15 @@
     }
 }
 
+/// A keeper's name for one part of its asks. The first is its own, so that a single part looks
+/// as it always did; an owner of any version answers each part as an ask of its own.
+pub fn ask_part(keeper: &Member, part: u32) -> Member {
+    if part == 0 {
+        keeper.clone()
+    } else {
+        Member::new(&format!("{keeper}/{part}"))
+    }
+}
 /// What a controller asks to keep alive for owners that are out of reach.
 pub fn ask_key(keeper: &Member) -> String {
     format!("jh/ask/{keeper}")
@@ -49,12 +61,19 @@
     Role(Role),
     Ask(Member),
     Grant(u32, Member),
-    Types,
+    Format(Member),
+    /// One part of the machine types.
+    Types(u32),
 }
 
 /// The machine types as the cloud last gave them, for controllers that start while the cloud
 /// is down.
-pub const TYPES_KEY: &str = "jh/types";
+pub fn types_key(part: u32) -> String {
+    match part {
+        0 => "jh/types".to_owned(),
+        n => format!("jh/types/{n}"),
+    }
+}
 
 impl Key {
     pub fn parse(key: &str) -> Option<Self> {
@@ -63,13 +82,15 @@
             return Some(Self::Role(Role::Leader));
         }
         if rest == "types" {
-            return Some(Self::Types);
+            return Some(Self::Types(0));
         }
         let (space, name) = rest.split_once('/')?;
         Some(match space {
             "job" => Self::Job(name.into()),
             "hosts" => Self::Hosts(name.parse().ok()?),
             "session" => Self::Session(name.into()),
+            "types" => Self::Types(name.parse().ok().filter(|n| *n > 0)?),
+            "format" => Self::Format(name.into()),
             "ask" => Self::Ask(name.into()),
             "grant" => {
                 let (partition, keeper) = name.split_once('/')?;
@@ -115,10 +136,24 @@
     pub failing: u32,
 }
 
+/// What this version understands. 0, or no word of it: nothing beyond single jobs and blocks of
+/// any size. 1: `waits_on`, the spreading of cancellations, small blocks, asks in parts.
+pub const FORMAT: u32 = 1;
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SessionRecord {
     #[serde(rename = "l")]
     pub lease: u64,
+    /// The format that the process understands.
+    #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
+    pub format: u32,
+}
+
+/// The format that a member's last process understood; outlasts its session.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FormatRecord {
+    #[serde(rename = "f")]
+    pub format: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/jasperhill-wire/src/user.rs
+++ b/crates/jasperhill-wire/src/user.rs
@@ -68,6 +68,9 @@
     pub save: Micros,
     #[serde(rename = "d")]
     pub deadline: Option<Micros>,
+    /// Jobs that have to be done before any task of this one starts; sorted, each once.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub waits_on: Vec<JobId>,
 }
 
 pub const TASKS_MAX: u64 = 100_000;
@@ -124,9 +127,29 @@
             checkpoint_every: secs(f.amount("snapshot_every_s")?),
             save: secs(f.amount("snapshot_s")?),
             deadline: f.opt_amount("due_s")?.map(secs),
+            waits_on: Self::waits(&f)?,
         })
     }
 
+    fn waits(f: &Fields<'_>) -> Result<Vec<JobId>, Malformed> {
+        let mut ids = Vec::new();
+        for item in f.opt_list("waits_on")? {
+            let id = item.as_str().and_then(JobId::parse).ok_or(Malformed {
+                field: "waits_on",
+                reason: "not a list of job ids",
+            })?;
+            ids.push(id);
+        }
+        ids.sort();
+        ids.dedup();
+        Ok(ids)
+    }
+
+    /// The id alone, for a submission that is not understood as a whole.
+    pub fn parse_id(body: &[u8]) -> Option<JobId> {
+        JobId::parse(Fields(&object(body).ok()?).text("uid").ok()?)
+    }
+
     /// Most tasks that one zone may hold.
     pub fn zone_cap(&self) -> u32 {
         if self.spread {
--- a/crates/jasperhill-wire/tests/formats.rs
+++ b/crates/jasperhill-wire/tests/formats.rs
@@ -130,6 +130,9 @@
                     checkpoint_every: Micros(time / 2),
                     save: Micros(time / 3),
                     deadline: due.map(Micros),
+                    waits_on: (0..id % 4)
+                        .map(|n| JobId::new(&format!("job-{n}")))
+                        .collect(),
                 }
             },
         )
