--- a/crates/jasperhill-control/src/hostbook.rs
+++ b/crates/jasperhill-control/src/hostbook.rs
@@ -347,6 +347,13 @@
             guard(key.clone(), version.unwrap_or_default()),
         ];
         let bytes = serde_json::to_vec(&hosts).map_or(0, |b| b.len());
+        tracing::debug!(
+            block,
+            bytes,
+            hosts = hosts.hosts.len(),
+            edits = edits.len(),
+            "host block"
+        );
         if bytes <= self.settings.value_bytes || !state.upgrade.is_complete() {
             return Some(Prepared {
                 edits,
@@ -375,7 +382,8 @@
         }
         Some(Prepared {
             edits,
-            urgency,
+            // Not behind what can wait: a block that is too large soon can't be written at all.
+            urgency: urgency.min(Urgency::Finish),
             guards,
             changes,
             fresh,
--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -69,6 +69,8 @@
 /// The part of a burst that writes of the last urgency leave untouched: an acceptance that
 /// comes behind a batch of partial results would wait for the limit to recover.
 const REST_RESERVE: f64 = 0.5;
+/// Changes that go together however little of the limit is left.
+const AFFORD_LEAST: usize = 4;
 /// How soon a waiting writer looks for more urgent writes.
 const REST_LOOK: Micros = Micros::from_millis(40);
 /// The parts of this controller's share of requests that watches and read barriers may use;
@@ -160,14 +162,22 @@
         let mut keys: BTreeSet<String> = BTreeSet::new();
         let mut guarded: BTreeSet<String> = BTreeSet::new();
         for op in queue {
-            if op.urgency == Urgency::Rest && puts + op.changes.len() > afford_rest {
+            let more = op.changes.len();
+            // A large one goes alone once the limit has recovered.
+            let whole = batch.is_empty() && level + 0.5 >= state.writer.bucket.burst();
+            if op.urgency == Urgency::Rest && puts + more > afford_rest && !whole {
                 rest.push(op);
                 continue;
             }
+            // Guards against a write of several changes that waits for ever behind single ones:
+            // what it takes too much is made up for by those after it.
+            let affords = puts + more <= afford.max(AFFORD_LEAST)
+                || (more > AFFORD_LEAST && puts <= AFFORD_LEAST);
             let fits = batch.is_empty()
                 || (!batch[0].alone
                     && !op.alone
-                    && puts + op.changes.len() <= state.writer.ops_max.min(afford.max(4))
+                    && affords
+                    && puts + more <= state.writer.ops_max
                     && conds + op.guards.len() <= state.writer.ops_max * 4
                     && bytes + op.bytes <= TXN_BYTES
                     && op
@@ -179,7 +189,7 @@
                 rest.push(op);
                 continue;
             }
-            puts += op.changes.len();
+            puts += more;
             conds += op.guards.len();
             bytes += op.bytes;
             keys.extend(op.changes.iter().map(|c| c.key().to_owned()));
