--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -431,3 +431,44 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a zone whose hosts no single value names, against parts that are rewritten
+    /// for others' changes, and against growth without bound.
+    #[test]
+    fn hosts_are_asked_for_in_parts_that_fit() {
+        let mut keeping = Keeping::default();
+        let host = |n: usize| HostId::new(&format!("n-{n:06}"));
+        let (now, again) = (Micros::from_secs(100), Micros::from_secs(3));
+        for n in 0..100 {
+            assert_eq!(keeping.join(&host(n), 44, now), Some(true));
+        }
+        assert_eq!(keeping.join(&host(7), 44, now), Some(false));
+        let due = keeping.due(again, now);
+        let sizes: Vec<usize> = due.iter().map(|(.., hosts)| hosts.len()).collect();
+        assert_eq!(sizes, [44, 44, 12]);
+        let mut numbers: Vec<u64> = due.iter().map(|(_, number, _)| *number).collect();
+        numbers.dedup();
+        assert_eq!(numbers.len(), 3);
+        assert!(keeping.due(again, now).is_empty());
+        // One more is written with its part alone; after a while all are again.
+        keeping.join(&host(100), 44, now);
+        assert_eq!(keeping.due(again, now).len(), 1);
+        assert_eq!(keeping.due(again, now + again).len(), 3);
+        // All but one leave: the empty parts are written once more, to go.
+        let later = now + Micros::from_secs(60);
+        keeping.join(&host(50), 44, later);
+        keeping.parts.values_mut().for_each(|p| p.written = true);
+        keeping.leave(Micros::from_secs(10), later);
+        let due = keeping.due(again, later);
+        let left: Vec<_> = due.iter().map(|(n, _, hosts)| (*n, hosts.len())).collect();
+        assert_eq!(left, [(0, 0), (1, 1), (2, 0)]);
+        for n in 0..10_000 {
+            keeping.join(&host(n), 44, later);
+        }
+        assert_eq!(keeping.hosts.len(), 44 * PARTS_MAX as usize);
+    }
+}
--- a/crates/jasperhill-control/tests/settings.rs
+++ b/crates/jasperhill-control/tests/settings.rs
@@ -91,6 +91,42 @@
     }
 }
 
+/// The coming limits of the state service: what is absent stays, the smaller one counts, and each
+/// is checked like the present one.
+#[test]
+fn the_smaller_of_the_present_and_the_coming_limits_counts() {
+    let with = |next: &str| {
+        let text = GOOD.replacen("[params.cloud]", &format!("{next}\n[params.cloud]"), 1);
+        Settings::parse(&text)
+    };
+    let plain = with("").unwrap();
+    let some = with("[params.state.next]\nvalue_kb = 2.0\nwrite_rps = 28.0\nmore = 1").unwrap();
+    assert_eq!((some.value_bytes, some.txn_ops), (2_048, plain.txn_ops));
+    assert_eq!(
+        (some.state_write_rps, some.state_rps),
+        (28.0, plain.state_rps)
+    );
+    let larger = with("[params.state.next]\nvalue_kb = 64.0\ntxn_ops = 99\nrps = 9e3").unwrap();
+    assert_eq!(
+        (larger.value_bytes, larger.txn_ops),
+        (plain.value_bytes, plain.txn_ops)
+    );
+    assert_eq!(larger.state_rps, plain.state_rps);
+    for (field, value) in [
+        ("value_kb", "1.0"),
+        ("value_kb", "nan"),
+        ("txn_ops", "3"),
+        ("txn_ops", "-1"),
+        ("write_rps", "0.0"),
+        ("rps", "\"x\""),
+    ] {
+        let error = with(&format!("[params.state.next]\n{field} = {value}")).expect_err(field);
+        let error = error.to_string();
+        let at = format!("params.state.next.{field}");
+        assert!(error.starts_with(&at) && !error.contains('\n'), "{error}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(29),
--- a/crates/jasperhill-testkit/src/faults.rs
+++ b/crates/jasperhill-testkit/src/faults.rs
@@ -24,6 +24,10 @@
     CloudOutage(Duration),
     /// A machine stops with all that is on it.
     Die,
+    /// A controller is ended and comes back with the new version.
+    Upgrade(usize, Duration),
+    /// The state service has its coming limits from now on.
+    LimitsFall,
     /// The controller stands still while its clocks run on: nothing goes out or comes in, and
     /// what was decided before goes out afterwards.
     Freeze(usize, Duration),
--- a/crates/jasperhill-testkit/src/rules.rs
+++ b/crates/jasperhill-testkit/src/rules.rs
@@ -1,7 +1,7 @@
 //! The protocol's rules, asserted at every step.
 
 use crate::workers::Worker;
-use jasperhill_wire::{TaskId, user::JobRequest};
+use jasperhill_wire::{JobId, TaskId, user::JobRequest};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -15,6 +15,13 @@
     done: BTreeSet<TaskId>,
     /// When a user was told that the job is cancelled.
     pub cancelled: BTreeMap<String, Instant>,
+    /// Jobs of pipelines that were called done, and cancelled without having been asked.
+    pub staged: usize,
+    pub swept: usize,
+    /// Bad lists of jobs to wait for were all refused.
+    pub picked: bool,
+    /// Jobs whose users have asked to cancel them.
+    pub asked: BTreeSet<String>,
     /// Starts of this tick, to be judged against all machines.
     starts: Vec<(String, TaskId, u64)>,
     pub started: usize,
@@ -79,6 +86,10 @@
             {
                 self.breaks(format!("ran_cancelled: {task} starts on {host}"));
             }
+            let done = |n: &JobId| jobs.get(n.as_str()).is_some_and(|j| self.all_done(j));
+            if let Some(need) = job.waits_on.iter().find(|n| !done(n)) {
+                self.breaks(format!("too_early: {task} starts before {need} is done"));
+            }
             let siblings: Vec<&&Worker> = on
                 .iter()
                 .filter(|(_, t, _)| t.job == task.job)
--- a/crates/jasperhill-testkit/src/world.rs
+++ b/crates/jasperhill-testkit/src/world.rs
@@ -5,7 +5,7 @@
     cloud::{Cloud, address},
     faults::{Faults, Place, Trouble},
     rules::Rules,
-    state::{Served, StateService},
+    state::{Limits, Served, StateService},
     users,
     workers::{Times, Worker},
 };
@@ -33,6 +33,12 @@
     pub broken: usize,
     /// A team without a guarantee brings a huge array of short, tiny tasks.
     pub guests: bool,
+    /// Chains of jobs, from this second on.
+    pub pipelines: (usize, u64),
+    /// The state service has limits, and lower ones are announced.
+    pub limits: bool,
+    /// All controllers begin with the formats of the old version.
+    pub old: bool,
 }
 
 /// How large the deployment is.
@@ -78,6 +84,13 @@
     pub most_at_once: usize,
     /// Tasks that were killed because their machine's lease ran out.
     pub killed: usize,
+    /// Writes that were larger than the state service takes, and the longest value at the end.
+    pub too_large: usize,
+    pub longest: usize,
+    /// Jobs of pipelines that were called done, and cancelled with one before them.
+    pub staged: usize,
+    pub swept: usize,
+    pub picked: bool,
 }
 
 pub struct Inside {
@@ -91,21 +104,55 @@
     pub finished: usize,
     nodes: Vec<Option<Rc<Controller>>>,
     lives: Vec<u64>,
+    /// Controllers with the formats of the old version.
+    old: Vec<bool>,
     faults: Faults,
 }
 
+impl Inside {
+    /// All jobs that one needs, directly or through others.
+    pub fn before(&self, id: &str) -> Vec<String> {
+        let mut all: Vec<String> = Vec::new();
+        let mut next = vec![id.to_owned()];
+        while let Some(id) = next.pop() {
+            for need in self.jobs.get(&id).iter().flat_map(|j| &j.waits_on) {
+                if !all.iter().any(|a| a == need.as_str()) {
+                    all.push(need.to_string());
+                    next.push(need.to_string());
+                }
+            }
+        }
+        all
+    }
+}
+
 pub struct World {
     pub inner: RefCell<Inside>,
-    settings: Vec<Settings>,
+    /// As the old version reads them, and as the new one does.
+    settings: [Vec<Settings>; 2],
     origin: Instant,
     pub scale: Scale,
 }
 
 const NODES: usize = 3;
 const LEASE: Duration = Duration::from_secs(16);
-const CANCEL: Duration = Duration::from_secs(46);
+pub const CANCEL: Duration = Duration::from_secs(46);
 
-fn settings(node: usize, scale: Scale) -> Settings {
+/// What the state service takes at the start and later, where it has limits.
+const LIMITS: [Limits; 2] = [
+    Limits {
+        value_bytes: 16 * 1024,
+        txn_ops: 48,
+        write_rps: 100.0,
+    },
+    Limits {
+        value_bytes: 2 * 1024,
+        txn_ops: 10,
+        write_rps: 50.0,
+    },
+];
+
+fn settings(node: usize, scale: Scale, announced: bool) -> Settings {
     let mut text = format!(
         "member='worker-{node}'\nsite='{}'\nbind='10.0.0.{n}:8080'\nmesh_addr='10.0.0.{n}:8081'\n",
         if node == 1 { "b" } else { "a" },
@@ -123,6 +170,9 @@
         [params.workers]\nreport_s=2.5\nlease_s=16.0\ngang_wait_s=30.0\ngang_peer_s=4.0\ncancel_s=46.0\n\
         [params.state]\nrps=250.0\nwrite_rps=100.0\nvalue_kb=16.0\ntxn_ops=48\n\
         [params.cloud]\nrps=4.0\nlist_lag_s=3.0\n[params.quota]\nmax_connections=1000\n";
+    if announced {
+        text += "[params.state.next]\nwrite_rps=50.0\nvalue_kb=2.0\ntxn_ops=10\n";
+    }
     for team in 0..4 {
         text += &format!(
             "[[params.teams]]\nname='team-{team}'\ngpus=2.0\ngpus_max={:?}\n",
@@ -266,6 +316,10 @@
                 }
                 Ok(answer)
             }
+            Place::State if self.inner.borrow().old[node] => {
+                let answer = self.state(node, as_old_writes(request)).await?;
+                Ok(as_old_reads(answer))
+            }
             Place::State => self.state(node, request).await,
             Place::Cloud => {
                 let mut inner = self.inner.borrow_mut();
@@ -383,7 +437,9 @@
             world: self.clone(),
             node,
         });
-        let controller = Rc::new(Controller::start(self.settings[node].clone(), clock, net));
+        let announced = usize::from(!self.inner.borrow().old[node]);
+        let settings = self.settings[announced][node].clone();
+        let controller = Rc::new(Controller::start(settings, clock, net));
         self.inner.borrow_mut().nodes[node] = Some(controller);
     }
 
@@ -406,6 +462,20 @@
                     world.start_node(node);
                 });
             }
+            Trouble::Upgrade(node, back) => {
+                self.kill_node(node);
+                let world = self.clone();
+                spawn_local(async move {
+                    sleep(back).await;
+                    // Whoever restarted it meanwhile started the old version.
+                    world.kill_node(node);
+                    world.inner.borrow_mut().old[node] = false;
+                    world.start_node(node);
+                });
+            }
+            Trouble::LimitsFall => {
+                self.inner.borrow_mut().state.limits = Some(LIMITS[1]);
+            }
             Trouble::Cut(a, b, time) => self.inner.borrow_mut().faults.cut(a, b, now + time),
             Trouble::StateOutage(time) => {
                 self.inner.borrow_mut().faults.state_until = Some(now + time);
@@ -648,6 +718,62 @@
     }
 }
 
+/// What the old version writes: nothing that it does not know.
+fn as_old_writes(mut request: Request) -> Request {
+    if request.path() == "/txn" {
+        let mut body: Value = serde_json::from_slice(&request.body).unwrap();
+        if let Some(changes) = body["then"].as_array_mut() {
+            changes.retain_mut(|c| {
+                let key = c["write"].as_str().unwrap_or_default().to_owned();
+                !forget(&key, &mut c["data"])
+            });
+        }
+        request.body = body.to_string().into_bytes();
+    }
+    request
+}
+
+/// What the old version understands of what it reads.
+fn as_old_reads(mut answer: Response) -> Response {
+    let Ok(mut body) = serde_json::from_slice::<Value>(&answer.body) else {
+        return answer;
+    };
+    for (list, name) in [("pairs", "k"), ("news", "write")] {
+        if let Some(items) = body[list].as_array_mut() {
+            items.retain_mut(|i| {
+                let key = i[name].as_str().unwrap_or_default().to_owned();
+                !forget(&key, &mut i["data"])
+            });
+        }
+    }
+    if body.is_object() {
+        let empty = |v: &mut Value, k: &str| {
+            v.as_object_mut()
+                .is_some_and(|o| o.get(k).is_some_and(Value::is_null))
+        };
+        for k in ["pairs", "news"] {
+            if empty(&mut body, k) {
+                body.as_object_mut().unwrap().remove(k);
+            }
+        }
+        answer.body = body.to_string().into_bytes();
+    }
+    answer
+}
+
+/// Takes from a record what the old version does not know; true if it knows nothing of it.
+fn forget(key: &str, value: &mut Value) -> bool {
+    if let Some(fields) = value.as_object_mut() {
+        if key.starts_with("jh/session/") {
+            fields.remove("f");
+        }
+        if let Some(request) = fields.get_mut("r").and_then(Value::as_object_mut) {
+            request.remove("w");
+        }
+    }
+    key.starts_with("jh/format/") || key.starts_with("jh/types/")
+}
+
 fn worker_id(to: SocketAddr) -> String {
     let SocketAddr::V4(v4) = to else {
         panic!("not IPv4")
@@ -682,7 +808,7 @@
         let world = Rc::new(World {
             inner: RefCell::new(Inside {
                 rng: StdRng::seed_from_u64(plan.seed),
-                state: StateService::default(),
+                state: StateService::new(plan.limits.then_some(LIMITS[0])),
                 cloud,
                 workers: BTreeMap::new(),
                 jobs: BTreeMap::new(),
@@ -691,9 +817,11 @@
                 finished: 0,
                 nodes: vec![None; NODES],
                 lives: vec![0; NODES],
+                old: vec![plan.old; NODES],
                 faults: Faults::default(),
             }),
-            settings: (0..NODES).map(|n| settings(n, plan.scale)).collect(),
+            settings: [false, plan.limits]
+                .map(|next| (0..NODES).map(|n| settings(n, plan.scale, next)).collect()),
             origin: now,
             scale: plan.scale,
         });
@@ -711,6 +839,23 @@
                 users::follow(world, body).await;
             });
         }
+        let (pipelines, from) = plan.pipelines;
+        if pipelines > 0 {
+            let world = world.clone();
+            spawn_local(async move {
+                sleep(Duration::from_secs(from)).await;
+                users::picky(world).await;
+            });
+        }
+        for number in 0..pipelines {
+            let world = world.clone();
+            let at = now + Duration::from_secs(from) + Duration::from_millis(world.pick(60_000));
+            spawn_local(async move {
+                sleep_until(at).await;
+                let stages = users::pipeline(&world, number);
+                users::follow_pipeline(world, stages).await;
+            });
+        }
         let extra = (0..plan.broken).map(users::broken);
         let extra = extra.chain(plan.guests.then(users::huge));
         for (n, body) in extra.enumerate() {
@@ -738,6 +883,11 @@
             started: inner.rules.started,
             most_at_once: inner.rules.most_at_once,
             killed: inner.rules.killed,
+            too_large: inner.state.too_large,
+            longest: inner.state.longest(),
+            staged: inner.rules.staged,
+            swept: inner.rules.swept,
+            picked: inner.rules.picked,
         }
     })
 }
--- a/crates/jasperhill-testkit/tests/cluster.rs
+++ b/crates/jasperhill-testkit/tests/cluster.rs
@@ -24,6 +24,9 @@
         scale: Scale::Small,
         broken: 0,
         guests: false,
+        pipelines: (0, 0),
+        limits: false,
+        old: false,
     }
 }
 
@@ -172,6 +175,9 @@
         scale: Scale::Large,
         broken: 0,
         guests: false,
+        pipelines: (0, 0),
+        limits: false,
+        old: false,
     });
     assert_eq!(outcome.broken, Vec::<String>::new());
     assert!(outcome.accepted > 70, "{outcome:?}");
@@ -256,3 +262,95 @@
     assert!((4_000..4_700).contains(&outcome.started), "{outcome:?}");
     assert!(outcome.finished > 25, "{outcome:?}");
 }
+
+/// Pipelines through crashes, cuts, outages and refusals: nothing starts too early, and a
+/// cancellation reaches all that comes after.
+#[test]
+fn pipelines_through_troubles() {
+    let zone = |z: &str| Place::Zone(z.to_owned());
+    let (mut staged, mut swept) = (0, 0);
+    for seed in 100..105 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut troubles = Vec::new();
+        for at in [50, 75, 100, 140, 180] {
+            let node = rng.random_range(0..3);
+            let time = secs(rng.random_range(4..25));
+            troubles.push((
+                at,
+                match rng.random_range(0..6) {
+                    0 => Trouble::Crash(node, time),
+                    1 => Trouble::Cut(Place::Node(node), Place::State, time),
+                    2 => Trouble::StateOutage(time),
+                    3 => Trouble::Refused(node, time),
+                    4 => Trouble::Freeze(node, time),
+                    _ => Trouble::Cut(Place::Node(node), zone("b"), time),
+                },
+            ));
+        }
+        let outcome = run(Plan {
+            pipelines: (14, 40),
+            ..small(seed, troubles)
+        });
+        assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(outcome.picked, "seed {seed}");
+        staged += outcome.staged;
+        swept += outcome.swept;
+    }
+    // Runs in which no pipeline ends, or none is cancelled, would prove nothing.
+    assert!(staged > 200 && swept > 10, "{staged} {swept}");
+}
+
+/// The upgrade, one controller after the other, in a deployment whose records are large; then
+/// the limits fall.
+fn upgrade(seed: u64, scale: Scale, mut troubles: Vec<(u64, Trouble)>) -> Outcome {
+    troubles.extend((0..3).map(|n| (60 + 12 * n as u64, Trouble::Upgrade(n, secs(5)))));
+    troubles.push((130, Trouble::LimitsFall));
+    let outcome = run(Plan {
+        pipelines: (8, 105),
+        limits: true,
+        old: true,
+        scale,
+        seconds: 240,
+        ..small(seed, troubles)
+    });
+    assert_eq!(outcome.broken, Vec::<String>::new(), "seed {seed}");
+    assert!(outcome.staged > 10, "{outcome:?}");
+    outcome
+}
+
+#[test]
+fn old_and_new_serve_side_by_side_and_the_limits_fall() {
+    for seed in [110, 111] {
+        let outcome = upgrade(seed, Scale::Small, Vec::new());
+        assert_eq!(outcome.too_large, 0, "{outcome:?}");
+    }
+    let outcome = upgrade(112, Scale::Large, Vec::new());
+    // What the old version filled was split before the limits fell.
+    assert_eq!(outcome.too_large, 0, "{outcome:?}");
+    assert!(outcome.longest <= 2 * 1024, "{outcome:?}");
+    assert_eq!(outcome.killed, 0, "{outcome:?}");
+}
+
+/// Troubles in the midst of it: crashes of those that are not upgraded yet, which come back old,
+/// a state service that refuses one, a cut, an outage; and limits that fall before any block is
+/// split.
+#[test]
+fn an_upgrade_through_troubles() {
+    for seed in [120, 121, 122] {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut troubles = vec![
+            (55, Trouble::Crash(2, secs(6))),
+            (66, Trouble::Crash(1, secs(4))),
+        ];
+        let node = rng.random_range(0..3);
+        let time = secs(rng.random_range(6..20));
+        troubles.push((70, Trouble::Refused(node, time)));
+        troubles.push((95, Trouble::StateOutage(time / 2)));
+        troubles.push((120, Trouble::Crash((node + 1) % 3, secs(6))));
+        troubles.push((133, Trouble::Cut(Place::Node(node), Place::State, time)));
+        upgrade(seed, Scale::Small, troubles);
+    }
+    let early = vec![(50, Trouble::LimitsFall)];
+    let outcome = upgrade(123, Scale::Large, early);
+    assert!(outcome.longest <= 2 * 1024, "{outcome:?}");
+}
--- a/crates/jasperhill-wire/tests/formats.rs
+++ b/crates/jasperhill-wire/tests/formats.rs
@@ -67,6 +67,10 @@
         ("urgency", json!(3)),
         ("hall", json!(5)),
         ("bundle", json!("")),
+        ("waits_on", json!("job-1")),
+        ("waits_on", json!({"job-1": 1})),
+        ("waits_on", json!(["job-1", 7])),
+        ("waits_on", json!(["job-1", ""])),
     ];
     for (field, value) in wrong {
         let mut body = submission();
@@ -75,6 +79,16 @@
         assert!(error.starts_with(field), "{error}");
     }
     assert!(JobRequest::parse(b"[1]").is_err() && JobRequest::parse(b"{").is_err());
+    for (waits, read) in [
+        (json!(null), vec![]),
+        (json!([]), vec![]),
+        (json!(["job-2", "job-1", "job-2"]), vec!["job-1", "job-2"]),
+    ] {
+        let mut body = submission();
+        body["waits_on"] = waits;
+        let ids: Vec<JobId> = read.into_iter().map(JobId::new).collect();
+        assert_eq!(parse(&body).unwrap().waits_on, ids);
+    }
     let mut more = submission();
     more["unknown"] = json!({"a": 1});
     assert!(parse(&more).is_ok());
