--- a/crates/jasperhill-sched/src/suit.rs
+++ b/crates/jasperhill-sched/src/suit.rs
@@ -12,6 +12,22 @@
 /// What it is worth to leave an empty machine whole.
 const BREAK_MS: u64 = 4_000;
 
+/// What it is worth to leave one accelerator the CPUs that its work needs.
+const SPOIL_MS: f64 = 16_000.0;
+
+/// How many of a host's accelerators a task without any would leave idle, because the CPUs of
+/// their share are gone. Nothing while it runs beside work that has all accelerators, or on a
+/// machine that has none.
+fn spoils(host: &Host, room: &Resources, each: &Resources) -> f64 {
+    let capacity = &host.spec.capacity;
+    if each.gpus > 0 || capacity.gpus == 0 || capacity.cpus == 0 {
+        return 0.0;
+    }
+    let share = capacity.cpus as f64 / capacity.gpus as f64;
+    let served = |cpus: u64| (room.gpus as f64).min(cpus as f64 / share);
+    (served(room.cpus) - served(room.cpus.saturating_sub(each.cpus))) / 1e6
+}
+
 /// The expected wait for the image.
 pub fn start_delay(host: &Host, request: &JobRequest, now: Micros) -> Micros {
     host.image_wait(&request.image, request.image_gb, now)
@@ -30,8 +46,9 @@
     } else {
         0
     };
+    let spoilt = SPOIL_MS * spoils(host, room, &request.each);
     let tight = 1_000.0 * (1.0 - request.each.share_of(room).min(1.0));
-    delay.0 / 1_000 + slow + kind + breaks + tight as u64
+    delay.0 / 1_000 + slow + kind + breaks + (spoilt + tight) as u64
 }
 
 /// A suspect job is tried where others succeed, so that the try tells something.
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -2,12 +2,13 @@
 
 use jasperhill_sched::{
     Host, HostInput, MachineSpec, Partition, Reach, SchedConfig, Source, TeamLimits, Tuning,
-    Verdict, job::Ending,
+    Verdict,
+    job::{Ending, Gate, Place},
 };
 use jasperhill_wire::{
     Attempt, HostId, JobId, Micros, Resources, Revision, TaskId, Token,
     record::{HostRecord, HostUse},
-    user::JobRequest,
+    user::{JobRequest, Priority},
     worker::{Cause, Order, Report, TaskPhase, TaskReport},
 };
 use proptest::prelude::*;
@@ -645,3 +646,72 @@
     part.pass(NOW);
     assert!(live(&part, "job-1") > 100);
 }
+
+/// Small tasks without accelerators go where accelerators are taken or spoilt already; whole
+/// machines stay for gangs that need them.
+#[test]
+fn tasks_without_accelerators_keep_off_the_cpus_of_free_ones() {
+    let mut part = partition(6, false);
+    // All accelerators of one machine are taken, and one of another: there the CPUs left over
+    // are fewer, and the other accelerator's.
+    for (id, cpus, gpus) in [("job-1", 14.0, 2.0), ("job-2", 15.0, 1.0)] {
+        let mut gang = (*request(id, "ensemble", 1, 2.0, None)).clone();
+        gang.each = Resources::from_units(cpus, gpus, 100.0);
+        part.upsert_job(&Rc::new(gang), Revision(6), NOW, &[], (0, NOW));
+    }
+    part.pass(NOW);
+    let full = part.jobs[&JobId::new("job-1")].live[&0].clone();
+    assert_ne!(full, part.jobs[&JobId::new("job-2")].live[&0]);
+    let mut small = (*request("job-9", "array", 2, 0.0, None)).clone();
+    small.each = Resources::from_units(1.0, 0.0, 1.0);
+    part.upsert_job(&Rc::new(small), Revision(7), NOW, &[], (0, NOW));
+    part.pass(NOW);
+    let live = &part.jobs[&JobId::new("job-9")].live;
+    assert!(
+        live.len() == 2 && live.values().all(|h| h == &full),
+        "{live:?}"
+    );
+}
+
+/// A job that waits for others is not booked, started, or counted as running unseen, whatever
+/// room there is; once it may, it starts, and ranks by what the jobs after it leave it.
+#[test]
+fn a_waiting_job_holds_nothing_until_it_is_released() {
+    let mut part = partition(2, false);
+    let id = JobId::new("job-2");
+    let place = |gate, due| Place {
+        gate,
+        since: NOW,
+        due,
+        priority: Some(Priority::High),
+    };
+    for (shape, due) in [("array", Some(100.0)), ("array", None), ("ensemble", None)] {
+        let job = request("job-2", shape, 2, 1.0, due);
+        part.upsert_job(&job, Revision(0), NOW, &[], (0, NOW));
+        part.place_job(&id, place(Gate::Waiting, None));
+        part.pass(NOW);
+        assert_eq!(live(&part, "job-2"), 0);
+        assert!(part.jobs[&id].booked.is_empty());
+        let other = request("job-3", "array", 1, 1.0, None);
+        part.upsert_job(&other, Revision(7), NOW, &[], (0, NOW));
+        let soon = NOW + Micros::from_secs(5);
+        part.place_job(&id, place(Gate::Open, Some(soon)));
+        let rank = |id: &str| part.jobs[&JobId::new(id)].rank();
+        assert!(rank("job-2") < rank("job-3"));
+        part.pass(NOW);
+        assert_eq!(live(&part, "job-2"), 2);
+        part = partition(2, false);
+    }
+}
+
+/// The last job of a pipeline is admitted by when it will be released, not as if it were now.
+#[test]
+fn admission_counts_from_the_release() {
+    let part = partition(1, false);
+    let last = request("job-2", "array", 2, 1.0, Some(30.0));
+    let none = (0, Micros::ZERO);
+    let admit = |release| part.admit(&last, NOW, NOW, Micros::from_secs(release), none);
+    assert_eq!(admit(0), Verdict::Admit);
+    assert_eq!(admit(18), Verdict::Admit);
+    assert_eq!(admit(25), Verdict::Refuse);
+}
