--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -33,6 +33,17 @@
     Rest,
 }
 
+impl Urgency {
+    /// How much of the limit writes of this urgency leave to those that can't wait.
+    fn reserve(self, burst: f64) -> f64 {
+        match self {
+            Self::Rest => burst * REST_RESERVE,
+            Self::Finish => burst * FINISH_RESERVE,
+            _ => 0.0,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Written {
     Done(Revision),
@@ -48,11 +59,24 @@
     guards: Vec<Guard>,
     changes: Vec<Change>,
     bytes: usize,
+    since: Micros,
     by: Micros,
     reply: oneshot::Sender<Written>,
     alone: bool,
 }
 
+impl Op {
+    /// How much of the limit it leaves untouched. Guards against writes that never get their turn
+    /// under a steady flow of more urgent ones.
+    fn reserve(&self, burst: f64, now: Micros) -> f64 {
+        if now - self.since > PATIENCE {
+            0.0
+        } else {
+            self.urgency.reserve(burst)
+        }
+    }
+}
+
 /// Writes that wait for their turn.
 pub(crate) struct Writer {
     queue: Vec<Op>,
@@ -66,9 +90,13 @@
 /// More waiting writes than this are refused at once.
 const QUEUE_MAX: usize = 2_000;
 const TXN_BYTES: usize = 60 * 1024;
-/// The part of a burst that writes of the last urgency leave untouched: an acceptance that
-/// comes behind a batch of partial results would wait for the limit to recover.
+/// The part of a burst that writes of the last urgencies leave untouched: an acceptance that
+/// comes behind a batch of partial results, or of host records, would wait for the limit to
+/// recover.
 const REST_RESERVE: f64 = 0.5;
+const FINISH_RESERVE: f64 = 0.25;
+/// What has waited longer than this takes what there is.
+const PATIENCE: Micros = Micros::from_secs(8);
 /// Changes that go together however little of the limit is left.
 const AFFORD_LEAST: usize = 4;
 /// How soon a waiting writer looks for more urgent writes.
@@ -129,12 +157,14 @@
             if state.writer.queue.len() >= QUEUE_MAX {
                 return Written::NotDone;
             }
-            let by = self.now() + limit;
+            let since = self.now();
+            let by = since + limit;
             let op = Op {
                 urgency,
                 guards,
                 changes,
                 bytes,
+                since,
                 by,
                 reply,
                 alone: false,
@@ -156,23 +186,30 @@
         }
         let level = state.writer.bucket.level(now);
         let afford = level.max(1.0) as usize;
-        let afford_rest = (level - state.writer.bucket.burst() * REST_RESERVE).max(0.0) as usize;
+        let burst = state.writer.bucket.burst();
         let (mut batch, mut rest): (Vec<Op>, Vec<Op>) = (Vec::new(), Vec::new());
         let (mut puts, mut conds, mut bytes) = (0, 0, 0);
+        let mut blocked = false;
         let mut keys: BTreeSet<String> = BTreeSet::new();
         let mut guarded: BTreeSet<String> = BTreeSet::new();
         for op in queue {
             let more = op.changes.len();
-            // A large one goes alone once the limit has recovered.
-            let whole = batch.is_empty() && level + 0.5 >= state.writer.bucket.burst();
-            if op.urgency == Urgency::Rest && puts + more > afford_rest && !whole {
+            let reserve = op.reserve(burst, now);
+            let affords = if reserve > 0.0 {
+                // Guards against a write of several changes that waits for ever behind single
+                // ones: it goes alone once the limit has recovered.
+                let recovered = batch.is_empty() && level + 0.5 >= burst;
+                puts as f64 + more as f64 + reserve <= level || recovered
+            } else {
+                puts + more <= afford.max(AFFORD_LEAST)
+                    || (more > AFFORD_LEAST && puts <= AFFORD_LEAST)
+            };
+            if reserve > 0.0 && (blocked || !affords) {
+                // The first one that has to wait is not overtaken by smaller ones.
+                blocked |= batch.is_empty();
                 rest.push(op);
                 continue;
             }
-            // Guards against a write of several changes that waits for ever behind single ones:
-            // what it takes too much is made up for by those after it.
-            let affords = puts + more <= afford.max(AFFORD_LEAST)
-                || (more > AFFORD_LEAST && puts <= AFFORD_LEAST);
             let fits = batch.is_empty()
                 || (!batch[0].alone
                     && !op.alone
@@ -218,11 +255,15 @@
                     requests, writer, ..
                 } = &mut *state;
                 // What can wait leaves some of the limit to what comes next and can't.
-                let reserve = match writer.queue.first().map(|o| o.urgency) {
-                    Some(Urgency::Rest) => writer.bucket.burst() * REST_RESERVE,
-                    _ => 0.0,
-                };
-                if let Some(wait) = writer.bucket.until(1.0 + reserve, now) {
+                let burst = writer.bucket.burst();
+                let need = writer
+                    .queue
+                    .first()
+                    .map_or(1.0, |o| match o.reserve(burst, now) {
+                        0.0 => 1.0,
+                        reserve => (o.changes.len() as f64 + reserve).min(burst),
+                    });
+                if let Some(wait) = writer.bucket.until(need, now) {
                     Some(wait.min(REST_LOOK))
                 } else {
                     requests.take(1.0, now).err()
