--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -295,7 +295,9 @@
         };
         let guards = vec![guard(session_key(me), version)];
         let limit = Micros::from_secs(1);
-        let done = self.write(Urgency::Keep, guards, vec![change], limit).await;
+        let done = self
+            .write(Urgency::Accept, guards, vec![change], limit)
+            .await;
         if let Some(part) = self.state.borrow_mut().keeping.parts.get_mut(&part) {
             part.written = !empty || !matches!(done, Written::Done(_));
         }
@@ -391,7 +393,7 @@
             let guards = vec![guard(role_key(Role::Partition(p)), since)];
             let limit = Micros::from_secs(1);
             inner
-                .write(Urgency::Keep, guards, vec![change], limit)
+                .write(Urgency::Accept, guards, vec![change], limit)
                 .await;
         });
     }
--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -25,8 +25,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Urgency {
     Role,
-    /// Hosts that are kept alive for others: their leases run out meanwhile.
-    Keep,
     Cancel,
     Accept,
     /// A finished job that others wait for.
