--- a/crates/jasperhill-testkit/src/world.rs
+++ b/crates/jasperhill-testkit/src/world.rs
@@ -148,7 +148,7 @@
     Limits {
         value_bytes: 2 * 1024,
         txn_ops: 10,
-        write_rps: 50.0,
+        write_rps: 28.0,
     },
 ];
 
@@ -171,7 +171,7 @@
         [params.state]\nrps=250.0\nwrite_rps=100.0\nvalue_kb=16.0\ntxn_ops=48\n\
         [params.cloud]\nrps=4.0\nlist_lag_s=3.0\n[params.quota]\nmax_connections=1000\n";
     if announced {
-        text += "[params.state.next]\nwrite_rps=50.0\nvalue_kb=2.0\ntxn_ops=10\n";
+        text += "[params.state.next]\nwrite_rps=28.0\nvalue_kb=2.0\ntxn_ops=10\n";
     }
     for team in 0..4 {
         text += &format!(
