--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -281,18 +281,17 @@
 
     /// The record of a new job; `None` if it would not fit, with room for some results.
     fn record_of(&self, request: &JobRequest) -> Option<JobRecord> {
-        let doomed = self.is_doomed(request);
-        let record = JobRecord {
-            phase: if doomed {
-                RecordPhase::Cancelled
-            } else {
-                RecordPhase::Active
-            },
-            done_count: 0,
-            request: (!doomed).then(|| request.clone()),
-            submitted: (!doomed).then(|| self.clock.wall()),
-            finished: Vec::new(),
-            failing: 0,
+        let record = if self.is_doomed(request) {
+            JobRecord::over(RecordPhase::Cancelled, 0)
+        } else {
+            JobRecord {
+                phase: RecordPhase::Active,
+                done_count: 0,
+                request: Some(request.clone()),
+                submitted: Some(self.clock.wall()),
+                finished: Vec::new(),
+                failing: 0,
+            }
         };
         let bytes = serde_json::to_vec(&record).map_or(usize::MAX, |b| b.len());
         (bytes + RESULTS_ROOM <= self.settings.value_bytes).then_some(record)
@@ -522,14 +521,7 @@
                 }
                 continue;
             };
-            let record = JobRecord {
-                phase: RecordPhase::Cancelled,
-                done_count,
-                request: None,
-                submitted: None,
-                finished: Vec::new(),
-                failing: 0,
-            };
+            let record = JobRecord::over(RecordPhase::Cancelled, done_count);
             let guards = vec![guard(job_key(&id), version)];
             let changes = vec![put(job_key(&id), &record)];
             let limit = Micros::from_millis(1_500);
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -512,14 +512,7 @@
     ) -> Option<(JobRecord, BTreeSet<u32>)> {
         let job = partition.jobs.get(id)?;
         if job.done.is_full() {
-            let record = JobRecord {
-                phase: RecordPhase::Done,
-                done_count: job.done.count(),
-                request: None,
-                submitted: None,
-                finished: Vec::new(),
-                failing: 0,
-            };
+            let record = JobRecord::over(RecordPhase::Done, job.done.count());
             return Some((record, job.unsaved.clone()));
         }
         let failing = job.trust.failing();
@@ -586,14 +579,7 @@
         for (p, since, id, version, done_count) in due {
             let inner = self.clone();
             self.clone().spawn(async move {
-                let record = JobRecord {
-                    phase: RecordPhase::Cancelled,
-                    done_count,
-                    request: None,
-                    submitted: None,
-                    finished: Vec::new(),
-                    failing: 0,
-                };
+                let record = JobRecord::over(RecordPhase::Cancelled, done_count);
                 let guards = vec![
                     guard(role_key(Role::Partition(p)), since),
                     guard(job_key(&id), version),
--- a/crates/jasperhill-wire/src/record.rs
+++ b/crates/jasperhill-wire/src/record.rs
@@ -136,6 +136,20 @@
     pub failing: u32,
 }
 
+impl JobRecord {
+    /// What stays of a job that is over.
+    pub fn over(phase: RecordPhase, done_count: u32) -> Self {
+        Self {
+            phase,
+            done_count,
+            request: None,
+            submitted: None,
+            finished: Vec::new(),
+            failing: 0,
+        }
+    }
+}
+
 /// What this version understands. 0, or no word of it: nothing beyond single jobs and blocks of
 /// any size. 1: `waits_on`, the spreading of cancellations, small blocks, asks in parts.
 pub const FORMAT: u32 = 1;
