--- a/crates/jasperhill-control/src/cloud/stock.rs
+++ b/crates/jasperhill-control/src/cloud/stock.rs
@@ -8,7 +8,7 @@
     chain::Standing,
     fleet::{Demand, Need, plan},
 };
-use jasperhill_wire::{Micros, Name, record::HostUse};
+use jasperhill_wire::{JobId, Micros, Name, record::HostUse};
 use std::collections::BTreeMap;
 
 /// What a partition should have and has.
@@ -81,10 +81,14 @@
         let wall = self.clock.wall();
         let boot = specs.values().map(|s| s.boot).max().unwrap_or_default();
         let now = self.now();
-        // What waits for others counts from when a machine rented now would be there for it.
-        let near = |job: &ActiveJob| match state.mirror.chain.standing(&job.request.id) {
-            Standing::Ready => true,
-            _ => self.release_of(state, &job.request, now) <= boot,
+        // What waits for others counts from when a machine rented now would be there for it: not
+        // while these wait themselves. Guards against walking long chains once for each of their jobs.
+        let ready = |id: &JobId| state.mirror.chain.standing(id) == Standing::Ready;
+        let near = |job: &ActiveJob| {
+            let request = &job.request;
+            ready(&request.id)
+                || (request.waits_on.iter().all(ready)
+                    && self.release_of(state, request, now) <= boot)
         };
         let demands: Vec<Demand<'_>> = state
             .mirror
--- a/crates/jasperhill-control/tests/mirror.rs
+++ b/crates/jasperhill-control/tests/mirror.rs
@@ -129,10 +129,57 @@
         .any(|c| matches!(c, Change::Host(id) if !mirror.hosts.contains_key(id)))
 }
 
+/// What the version before makes of blocks, one after the other: a host that its block no longer
+/// names is gone at once. Conclusions are drawn after a whole answer of a watch, but after each change
+/// of an own write and each listing.
+#[derive(Default)]
+struct Before(BTreeMap<u32, Vec<u32>>);
+
+impl Before {
+    fn put(&mut self, n: u32, hosts: &[u32]) {
+        self.0
+            .values_mut()
+            .for_each(|b| b.retain(|h| !hosts.contains(h)));
+        self.0.insert(n, hosts.to_vec());
+    }
+    fn knows(&self, host: u32) -> bool {
+        self.0.values().any(|b| b.contains(&host))
+    }
+}
+
+/// Why no block is split before every member is new: the version before loses no host to a move that
+/// a watch tells, in either order, but to its own it would, and to a listing that misses it.
+#[test]
+fn the_version_before_would_lose_hosts_to_moves_of_its_own_and_to_listings() {
+    let start = || {
+        let mut before = Before::default();
+        before.put(0, &[1, 2, 3]);
+        before
+    };
+    for turned in [false, true] {
+        let mut halves: Vec<(u32, &[u32])> = vec![(0, &[1]), (3, &[2, 3])];
+        if turned {
+            halves.reverse();
+        }
+        let (mut watch, mut seen) = (start(), Vec::new());
+        for (n, hosts) in &halves {
+            watch.put(*n, hosts);
+            seen.push(watch.knows(2));
+        }
+        // After the whole answer it is there; in between it was not, in one of the orders.
+        assert!(watch.knows(2));
+        assert_eq!(seen[0], turned);
+    }
+    let mut listing = start();
+    listing.put(0, &[1]);
+    assert!(
+        !listing.knows(2),
+        "the page with its new block was read before the move"
+    );
+}
+
 /// The two halves of a move come in either order, from the watch and from the own write: the
-/// hosts are never gone, and are in their new block afterwards. The version before this one read
-/// watches the same way (both halves applied before anything is concluded), but its own writes and
-/// listings half by half: no block is split before all are new.
+/// hosts are never gone, and are in their new block afterwards.
 #[test]
 fn a_host_moves_between_blocks_without_being_gone() {
     let halves = || [(block_key(0), block(&[1])), (block_key(3), block(&[2, 3]))];
