--- a/crates/jasperhill-control/src/settings.rs
+++ b/crates/jasperhill-control/src/settings.rs
@@ -60,8 +60,6 @@
     pub state_write_rps: f64,
     /// What a value may hold, now and later.
     pub value_bytes: usize,
-    /// What a value may hold for now: host blocks that earlier versions filled so far.
-    pub value_bytes_now: usize,
     pub txn_ops: usize,
     pub cloud_rps: f64,
     pub list_lag: Micros,
@@ -339,7 +337,6 @@
             state_rps: limits.rps,
             state_write_rps: limits.write_rps,
             value_bytes: (limits.value_kb.min(64.0) * 1024.0) as usize,
-            value_bytes_now: (p.state.value_kb.min(64.0) * 1024.0) as usize,
             txn_ops: limits.txn_ops as usize,
             cloud_rps: positive("params.cloud.rps", p.cloud.rps)?,
             list_lag: Micros::from_secs_f64(p.cloud.list_lag_s.clamp(0.0, 3_600.0)),
--- a/crates/jasperhill/src/main.rs
+++ b/crates/jasperhill/src/main.rs
@@ -112,6 +112,10 @@
         println!("peer {} at {}", peer.member, peer.address);
     }
     println!("state service {}, cloud {}", s.state, s.cloud);
+    println!(
+        "kept to: {} requests and {} changes a second, {} bytes a value, {} changes a transaction",
+        s.state_rps, s.state_write_rps, s.value_bytes, s.txn_ops
+    );
     println!(
         "{} partitions, zones {:?}, {} teams",
         s.size,
