Room only for classes that can't wait for a machine; what is empty soonest drains first

The last of several objectives of a class won, and every class with one got room for all that may come during a boot: hundreds of machines for arrays that may wait 200 s. After the peak, hosts that waited for a long task held up the emptying of others, and each partition kept a machine when idle. Change: the soonest objective counts, and the slack of deadlines; a class gets room as far as it can't wait for a machine rented at its arrival, none once it has ceased; one-zone gangs count their room by zone.

--- a/crates/jasperhill-control/src/cloud/returning.rs
+++ b/crates/jasperhill-control/src/cloud/returning.rs
@@ -16,8 +16,8 @@
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 use tokio::time::sleep;
 
-/// Hosts of a partition emptied at a time, at most.
-const DRAIN_MAX: i64 = 32;
+/// The part of the hosts that are too many that is emptied at a time.
+const DRAIN_PART: usize = 4;
 
 impl Inner {
     /// Returns what is condemned or never came into use. The record goes only when the
@@ -105,12 +105,18 @@
                 } else {
                     self.settings.own.tuning.idle_keep
                 };
-                if stock.have > stock.want {
-                    // One by one would take too long where hundreds are too many.
-                    let most = ((stock.have - stock.want) / 4).clamp(1, DRAIN_MAX) as usize;
-                    let ordinary = stock.have_ordinary > stock.want_ordinary;
-                    partition.drain_some(now, ordinary, most);
-                }
+                // A part at a time: what is wanted changes from one moment to the next, and a
+                // replica that moves is away for a moment.
+                let more = |have: i64, want: i64| {
+                    usize::try_from(have - want)
+                        .unwrap_or(0)
+                        .div_ceil(DRAIN_PART)
+                };
+                let surplus = (
+                    more(stock.have, stock.want),
+                    more(stock.have_ordinary, stock.want_ordinary),
+                );
+                partition.drain_some(now, surplus);
                 let ids: Vec<HostId> = partition.hosts.keys().cloned().collect();
                 for id in ids {
                     let Some(host) = partition.hosts.get(&id) else {
--- a/crates/jasperhill-control/src/cloud/stock.rs
+++ b/crates/jasperhill-control/src/cloud/stock.rs
@@ -104,22 +104,22 @@
                 })
             })
             .collect();
-        let head = 1.0 + self.settings.own.tuning.headroom;
-        let planned = |need: f64| need * head;
-        let mut stocks: Vec<Stock> = plan(&demands, &self.sched, specs)
-            .iter()
-            .enumerate()
-            .map(|(p, need): (usize, &Need)| {
-                let expected = state.arrivals.expected(p as u32, boot, now);
+        let tuning = &self.settings.own.tuning;
+        let mut stocks: Vec<Stock> = (0..)
+            .zip(plan(&demands, &self.sched, specs))
+            .map(|(p, need): (u32, Need)| {
+                let within = &self.sched.start_within;
+                let expected = state.arrivals.expected(p, boot, within, now);
                 let coming = expected
-                    + match state.unmet.get(&(p as u32)) {
+                    + match state.unmet.get(&p) {
                         Some((hosts, at)) if now - *at < Micros::from_secs(8) => *hosts,
                         _ => 0.0,
                     };
+                let floor = tuning.floor_of(p, self.settings.size);
                 Stock {
-                    want: (planned(need.total()) + coming + 0.5).ceil() as i64,
-                    want_ordinary: (planned(need.ordinary) + expected + 0.5).ceil() as i64,
-                    want_first: (planned(need.pressing) + 0.5).ceil() as i64,
+                    want: tuning.planned(need.total(), coming, floor),
+                    want_ordinary: tuning.planned(need.ordinary, expected, floor),
+                    want_first: tuning.planned(need.pressing, 0.0, 0),
                     ..Stock::default()
                 }
             })
--- a/crates/jasperhill-control/src/settings.rs
+++ b/crates/jasperhill-control/src/settings.rs
@@ -352,7 +352,12 @@
                         Micros::from_secs_f64(o.within_s.clamp(0.0, 86_400.0)),
                     ))
                 })
-                .collect(),
+                // Several for one class: the soonest counts, whatever their order.
+                .fold(BTreeMap::new(), |mut all, (class, within)| {
+                    let kept = all.entry(class).or_insert(within);
+                    *kept = within.min(*kept);
+                    all
+                }),
             own: OwnSettings::default(),
         })
     }
--- a/crates/jasperhill-control/tests/settings.rs
+++ b/crates/jasperhill-control/tests/settings.rs
@@ -30,6 +30,11 @@
 class = "quick"
 within_s = 2.0
 share = 0.9
+[[params.objectives]]
+kind = "wait"
+class = "quick"
+within_s = 90.0
+share = 0.99
 [params.workers]
 report_s = 3.0
 lease_s = 30.0
@@ -53,6 +58,7 @@
     let settings = Settings::parse(GOOD).unwrap();
     assert_eq!(settings.lease, Micros::from_secs(30));
     assert_eq!(settings.members().len(), 2);
+    // The sooner of two, whichever comes last.
     assert_eq!(settings.waited_for[&"quick".into()], Micros::from_secs(2));
     // A cancellation that is not seen must end what runs in time.
     assert!(settings.watch_age_max() + settings.lease < settings.cancel);
--- a/crates/jasperhill-sched/src/config.rs
+++ b/crates/jasperhill-sched/src/config.rs
@@ -33,6 +33,27 @@
     pub headroom: f64,
     /// How long an idle machine is kept.
     pub idle_keep: Micros,
+    /// Machines kept, in all, however little there is to do.
+    pub floor: u32,
+}
+
+impl Tuning {
+    /// The part of the floor that a partition keeps.
+    pub fn floor_of(&self, partition: u32, partitions: u32) -> u32 {
+        let all = partitions.max(1);
+        self.floor / all + u32::from(partition < self.floor % all)
+    }
+
+    /// Machines that a partition should have for work that needs so many, with room for what
+    /// is expected. None for nothing: an idle deployment shrinks to its floor.
+    pub fn planned(&self, need: f64, expected: f64, floor: u32) -> i64 {
+        let hosts = if need > 0.0 {
+            (need * (1.0 + self.headroom) + expected + 0.5).ceil()
+        } else {
+            expected.round()
+        };
+        (hosts as i64).max(i64::from(floor))
+    }
 }
 
 impl Default for Tuning {
@@ -41,6 +62,7 @@
             uncertainty: 1.0,
             headroom: 0.1,
             idle_keep: Micros::from_secs(8),
+            floor: 0,
         }
     }
 }
@@ -142,3 +164,20 @@
 pub fn fetch_time(gb: f64, spec: &MachineSpec) -> Micros {
     Micros::from_secs_f64(gb / spec.fetch_gb_per_s.max(1e-6))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_idle_deployment_shrinks_to_its_floor() {
+        let none = Tuning::default();
+        assert_eq!(none.planned(0.0, 0.3, 0), 0);
+        assert_eq!(none.planned(0.01, 0.0, 0), 1);
+        assert_eq!(none.planned(10.0, 2.0, 0), 14);
+        let seven = Tuning { floor: 7, ..none };
+        let shares: Vec<u32> = (0..3).map(|p| seven.floor_of(p, 3)).collect();
+        assert_eq!(shares, [3, 2, 2]);
+        assert_eq!(seven.planned(0.0, 0.0, 3), 3);
+    }
+}
--- a/crates/jasperhill-sched/src/drain.rs
+++ b/crates/jasperhill-sched/src/drain.rs
@@ -10,39 +10,66 @@
 use jasperhill_wire::{HostId, Micros, TaskId};
 
 /// A replica that has run for less is not moved.
-const SETTLED: Micros = Micros::from_secs(45);
+const SETTLED: Micros = Micros::from_secs(90);
 /// Hosts that hold more are not emptied.
 const TASKS_MOST: usize = 4;
 /// Hosts looked at closely in one go.
 const LOOKED_AT: usize = 64;
-/// A host that could not be emptied in this time is used again.
+/// A host that could not be emptied in this time is used again; one that is not expected to be
+/// empty by then is not chosen.
 const DRAIN_FOR: Micros = Micros::from_secs(90);
+/// Replicas that are away at the same time.
+const MOVES_MOST: usize = 16;
 
 impl Partition {
-    /// Chooses hosts to be emptied, when there are more than are needed: those with the
-    /// fewest tasks, if all their replicas can go on at once elsewhere. At most `most` are
-    /// being emptied at a time.
-    pub fn drain_some(&mut self, now: Micros, ordinary: bool, most: usize) {
-        let config = self.config.clone();
-        let draining = self.hosts.values().filter(|h| h.draining.is_some()).count();
-        if self.has_ghosts() || draining >= most {
+    /// Chooses hosts to be emptied, when there are more than are needed: those that are empty
+    /// the soonest, if all their replicas can go on at once elsewhere. `surplus`: how many are
+    /// too many, in all and ordinary ones; when that has shrunk, the fullest are used again.
+    ///
+    /// What is too many would only collect work that keeps it. Guards against a fleet that
+    /// shrinks slower than its load because hosts that wait for a long task hold up others.
+    pub fn drain_some(&mut self, now: Micros, surplus: (usize, usize)) {
+        let (mut most, mut ordinary) = surplus;
+        if self.has_ghosts() {
             return;
         }
-        let mut fewest: Vec<(usize, &HostId)> = self
+        let mut under_way: Vec<(usize, HostId, bool)> = self
             .hosts
             .values()
-            .filter(|h| (1..=TASKS_MOST).contains(&h.tasks_on()))
-            .filter(|h| h.is_usable(now, &config) && h.queue.is_empty() && (ordinary || h.spot))
-            .map(|h| (h.tasks_on(), &h.id))
+            .filter(|h| h.draining.is_some())
+            .map(|h| (h.tasks_on(), h.id.clone(), h.spot))
             .collect();
-        fewest.sort();
-        let chosen: Vec<HostId> = fewest
-            .into_iter()
-            .take(LOOKED_AT)
-            .filter(|(_, id)| self.hosts.get(*id).is_some_and(|h| self.empties(h, now)))
-            .take(most - draining)
-            .map(|(_, id)| id.clone())
+        under_way.sort();
+        for (_, id, spot) in under_way {
+            if most > 0 && (spot || ordinary > 0) {
+                most -= 1;
+                ordinary -= usize::from(!spot);
+            } else if let Some(host) = self.hosts.get_mut(&id) {
+                host.draining = None;
+                self.changed = true;
+            }
+        }
+        if most == 0 {
+            return;
+        }
+        let config = self.config.clone();
+        let mut soonest: Vec<(Micros, usize, &Host)> = self
+            .hosts
+            .values()
+            .filter(|h| (1..=TASKS_MOST).contains(&h.tasks_on()))
+            .filter(|h| h.is_usable(now, &config) && h.queue.is_empty())
+            .filter(|h| h.spot || ordinary > 0)
+            .map(|h| (self.batch_until(h, now), h.tasks_on(), h))
+            .filter(|(until, ..)| *until < now + DRAIN_FOR)
             .collect();
+        soonest.sort_by_key(|(until, tasks, h)| (*until, *tasks, &h.id));
+        let mut chosen = Vec::new();
+        for (.., host) in soonest.into_iter().take(LOOKED_AT) {
+            if chosen.len() < most && (host.spot || ordinary > 0) && self.empties(host, now) {
+                ordinary -= usize::from(!host.spot);
+                chosen.push(host.id.clone());
+            }
+        }
         for id in chosen {
             if let Some(host) = self.hosts.get_mut(&id) {
                 host.draining = Some(now);
@@ -50,6 +77,14 @@
         }
     }
 
+    /// When the last task there that ends by itself is expected to.
+    fn batch_until(&self, host: &Host, now: Micros) -> Micros {
+        let ends = self.occupied(host, now).into_iter().map(|o| o.until);
+        ends.filter(|until| *until < Micros::MAX)
+            .max()
+            .unwrap_or(now)
+    }
+
     /// All replicas there can move; the rest ends by itself.
     fn empties(&self, host: &Host, now: Micros) -> bool {
         host.tasks
@@ -106,7 +141,16 @@
                 stops.push((host.id.clone(), task.clone()));
             }
         }
-        for (host, task) in stops {
+        let away = self
+            .hosts
+            .values()
+            .filter(|h| h.draining.is_some())
+            .filter(|h| {
+                let mut on = h.tasks.values().filter(|t| t.is_on());
+                on.any(|t| t.stopping.is_some())
+            })
+            .count();
+        for (host, task) in stops.into_iter().take(MOVES_MOST.saturating_sub(away)) {
             self.notes.push(Note::Stopped(
                 task.clone(),
                 host.clone(),
--- a/crates/jasperhill-sched/src/fleet.rs
+++ b/crates/jasperhill-sched/src/fleet.rs
@@ -99,6 +99,12 @@
 struct Flow {
     sum: f64,
     squares: f64,
+    /// Seconds between jobs, smoothed.
+    gap: Option<f64>,
+    /// How long the last ones could wait and still meet their deadlines, smoothed.
+    slack: Option<Micros>,
+    /// Of the last one.
+    last: Micros,
     at: Micros,
 }
 
@@ -112,8 +118,21 @@
         self.squares *= factor;
         self.at = now;
     }
+
+    /// Nothing has come for so long that nothing is to be expected: several times the usual
+    /// gap, and more than an outage in which nobody is answered. Guards against an idle
+    /// deployment that keeps machines for as long as the memory lasts.
+    fn has_ceased(&self, now: Micros) -> bool {
+        let silent = (now - self.last).as_secs_f64();
+        let gap = self.gap.unwrap_or(MEMORY.as_secs_f64());
+        silent > CEASED_AFTER.as_secs_f64() && silent > CEASED_GAPS * gap
+    }
 }
 
+/// A class has ceased when it has been silent for longer than both.
+const CEASED_AFTER: Micros = Micros::from_secs(60);
+const CEASED_GAPS: f64 = 5.0;
+
 /// What has gathered before the start of a deployment says nothing about what comes; it is
 /// submitted within this time.
 const GATHERED: Micros = Micros::from_secs(15);
@@ -150,22 +169,56 @@
             .or_default();
         flow.decay(now);
         flow.sum += share;
-        flow.squares += share * share;
+        // Room in one zone must do for it, wherever the free machines are.
+        let zones = if request.one_zone {
+            specs.values().map(|s| s.zones.len()).max().unwrap_or(1)
+        } else {
+            1
+        };
+        flow.squares += share * share * zones as f64;
+        if flow.last > Micros::ZERO {
+            let gap = (now - flow.last).as_secs_f64();
+            flow.gap = Some(flow.gap.map_or(gap, |old| 0.8 * old + 0.2 * gap));
+        }
+        flow.last = now;
+        if let Some(deadline) = request.deadline {
+            let slack = deadline - request.estimate;
+            let old = flow.slack.unwrap_or(slack);
+            flow.slack = Some(old.scale(0.9) + slack.scale(0.1));
+        }
     }
 
-    /// Room to keep free in a partition, in hosts.
-    pub fn expected(&self, partition: u32, boot: Micros, now: Micros) -> f64 {
+    /// Room to keep free in a partition, in hosts. `within`: how soon each class is to start.
+    ///
+    /// A class that may wait for a machine to come up, by its objective and by its jobs'
+    /// deadlines, needs no room before it is there. Guards
+    /// against hundreds of machines that are kept for large arrays with minutes of time.
+    pub fn expected(
+        &self,
+        partition: u32,
+        boot: Micros,
+        within: &BTreeMap<Name, Micros>,
+        now: Micros,
+    ) -> f64 {
         let seen = (now - self.since).max(SEEN_LEAST).as_secs_f64();
         let memory = MEMORY.as_secs_f64();
         let span = memory * (1.0 - (-seen / memory).exp());
         let (mut mean, mut variance) = (0.0, 0.0);
-        for ((p, _), flow) in &self.flows {
-            if *p == partition {
-                let mut flow = *flow;
-                flow.decay(now);
-                mean += flow.sum / span * boot.as_secs_f64();
-                variance += flow.squares / span * boot.as_secs_f64();
+        for ((p, class), flow) in &self.flows {
+            let Some(within) = within.get(class).filter(|_| *p == partition) else {
+                continue;
+            };
+            let mut flow = *flow;
+            flow.decay(now);
+            if flow.has_ceased(now) {
+                continue;
             }
+            // A machine rented at the arrival is up after a boot; it is late by what exceeds
+            // the time that the class has, another boot for what follows the start.
+            let within = flow.slack.map_or(*within, |slack| slack.min(*within));
+            let ahead = (boot.scale(2.0) - within).min(boot).as_secs_f64();
+            mean += flow.sum / span * ahead;
+            variance += flow.squares / span * ahead;
         }
         mean + 2.0 * variance.sqrt()
     }
@@ -207,7 +260,15 @@
             arrivals.note(0, &request, &specs, at);
         }
         let now = first + Micros::from_secs(35);
-        let expected = arrivals.expected(0, Micros::from_secs(25), now);
+        let boot = Micros::from_secs(25);
+        let within = |s| BTreeMap::from([(Name::from("c"), Micros::from_secs(s))]);
+        let expected = arrivals.expected(0, boot, &within(10), now);
         assert!((10.0..30.0).contains(&expected), "{expected}");
+        // What may wait for a machine needs none in advance.
+        assert_eq!(arrivals.expected(0, boot, &within(200), now), 0.0);
+        assert_eq!(arrivals.expected(0, boot, &BTreeMap::new(), now), 0.0);
+        // And when nothing comes any more, nothing is kept.
+        let silent = now + Micros::from_secs(120);
+        assert_eq!(arrivals.expected(0, boot, &within(10), silent), 0.0);
     }
 }
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -715,3 +715,33 @@
     assert_eq!(admit(18), Verdict::Admit);
     assert_eq!(admit(25), Verdict::Refuse);
 }
+
+/// Guards against hosts that wait for a long task and hold up the emptying of others, and
+/// against hosts that stay out of use when what is wanted has risen again.
+#[test]
+fn what_is_empty_soonest_is_emptied_first_and_used_again_when_wanted() {
+    let mut part = partition(4, false);
+    for (job, shape, estimate) in [("job-1", "array", 60), ("job-2", "array", 5)] {
+        let mut r = (*request(job, shape, 1, 2.0, None)).clone();
+        r.estimate = Micros::from_secs(estimate);
+        part.upsert_job(&Rc::new(r), Revision(6), NOW, &[], (0, NOW));
+    }
+    part.pass(NOW);
+    let host_of = |part: &Partition, job: &str| part.jobs[&JobId::new(job)].live[&0].clone();
+    let (long, short) = (host_of(&part, "job-1"), host_of(&part, "job-2"));
+    let drained = |part: &Partition| -> Vec<HostId> {
+        let hosts = part.hosts.values().filter(|h| h.draining.is_some());
+        hosts.map(|h| h.id.clone()).collect()
+    };
+    // Ordinary machines are not too many: none is emptied.
+    part.drain_some(NOW, (2, 0));
+    assert_eq!(drained(&part), Vec::<HostId>::new());
+    part.drain_some(NOW, (1, 1));
+    assert_eq!(drained(&part), [short]);
+    part.drain_some(NOW, (2, 2));
+    assert_eq!(part.hosts[&long].draining, Some(NOW));
+    part.drain_some(NOW, (1, 2));
+    assert_eq!(drained(&part).len(), 1);
+    part.drain_some(NOW, (0, 0));
+    assert_eq!(drained(&part), Vec::<HostId>::new());
+}
--- a/crates/jasperhill/src/own.rs
+++ b/crates/jasperhill/src/own.rs
@@ -43,7 +43,10 @@
         if !message.has_field_by_name(field) {
             return Ok(None);
         }
-        match message.get_field_by_name(field).and_then(|v| v.as_f64()) {
+        match message
+            .get_field_by_name(field)
+            .and_then(|v| v.as_f64().or_else(|| v.as_u32().map(f64::from)))
+        {
             Some(x) if x.is_finite() && (least..=most).contains(&x) => Ok(Some(x)),
             _ => Err(bad(field, format!("must be from {least} to {most}"))),
         }
@@ -58,6 +61,9 @@
     if let Some(x) = number("idle_keep_s", 0.0, 86_400.0)? {
         own.tuning.idle_keep = Micros::from_secs_f64(x);
     }
+    if let Some(x) = number("floor_machines", 0.0, 100_000.0)? {
+        own.tuning.floor = x as u32;
+    }
     own.session = number("session_s", 2.0, 600.0)?.map(Micros::from_secs_f64);
     Ok(own)
 }
@@ -69,7 +75,8 @@
 
     #[test]
     fn values_are_read_and_the_rest_stays_default() {
-        let own = parse("headroom: 0.5\nsession_s: 8").unwrap();
+        let own = parse("headroom: 0.5\nsession_s: 8 floor_machines: 6").unwrap();
+        assert_eq!(own.tuning.floor, 6);
         assert_eq!(own.tuning.headroom, 0.5);
         assert_eq!(own.session, Some(Micros::from_secs(8)));
         assert_eq!(own.tuning.uncertainty, 1.0);
@@ -79,6 +86,10 @@
     #[test]
     fn what_does_not_fit_is_named() {
         assert_eq!(parse("headroom: -1").unwrap_err().field, "headroom");
+        assert_eq!(
+            parse("floor_machines: 100001").unwrap_err().field,
+            "floor_machines"
+        );
         assert_eq!(parse("session_s: nan").unwrap_err().field, "session_s");
         assert!(
             parse("no_such_field: 1")
