After a mass failure production returns first: room kept, no patience, gangs make way last

Cause: while the leases of lost machines ran out, lesser work took the free room that lost replicas then needed; a lost replica waited for an image up to its class's objective, and gangs of several tasks never made way. Change: sched::recover keeps room for replicas on hosts whose report is overdue or that do not answer after a takeover, and logs when production is whole again. Once a job has run whole its replicas displace lesser work where the image is; where no room is left, whole gangs too.

--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -622,6 +622,12 @@
         }
         Note::JobSuspect(job) => tracing::info!(%job, "job suspect: it fails wherever it runs"),
         Note::Stopped(task, host, why) => tracing::info!(%task, %host, why, "task stopped"),
+        Note::Whole(r) => tracing::info!(
+            after_s = r.after.as_secs_f64(),
+            lost = r.lost,
+            overtaken = r.overtaken,
+            "production is whole again"
+        ),
         Note::AllKnown(after, lapsed) => tracing::info!(
             after_s = after.as_secs_f64(),
             lapsed,
--- a/crates/jasperhill-sched/src/config.rs
+++ b/crates/jasperhill-sched/src/config.rs
@@ -86,6 +86,10 @@
     pub fn lapse(&self) -> Micros {
         self.lease + self.lease.scale(0.002) + Micros::from_millis(400)
     }
+    /// A host that has not been heard for so long may be lost: more than two reports.
+    pub fn silence(&self) -> Micros {
+        self.report.scale(2.5) + Micros::from_secs(1)
+    }
     /// A wait that is not worth stopping anything for.
     pub fn patience(&self, class: &Name) -> Micros {
         self.start_within
--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -273,7 +273,7 @@
             && self.doubt == Doubt::None
             && self.draining.is_none()
             && self.aside_until.is_none_or(|t| now >= t)
-            && now - self.last_heard < config.report.scale(2.5) + Micros::from_secs(1)
+            && now - self.last_heard < config.silence()
     }
 
     pub fn used(&self) -> Resources {
--- a/crates/jasperhill-sched/src/job.rs
+++ b/crates/jasperhill-sched/src/job.rs
@@ -76,6 +76,8 @@
     pub booked: BTreeMap<u32, HostId>,
     /// Tasks seen running, for display and for stopping the right one.
     pub running: BTreeSet<u32>,
+    /// All its tasks have run at the same time.
+    pub ran_whole: bool,
     /// Below this every task is done, live, booked or in `returned`.
     cursor: u32,
     returned: BTreeSet<u32>,
@@ -120,6 +122,7 @@
             live: BTreeMap::new(),
             booked: BTreeMap::new(),
             running: BTreeSet::new(),
+            ran_whole: false,
             cursor: 0,
             returned: BTreeSet::new(),
             ending: None,
@@ -197,6 +200,12 @@
         }
     }
 
+    /// A task is seen running.
+    pub fn runs(&mut self, i: u32) {
+        self.running.insert(i);
+        self.ran_whole |= self.running.len() >= self.request.tasks as usize;
+    }
+
     fn is_taken(&self, i: u32) -> bool {
         self.done.contains(i) || self.live.contains_key(&i) || self.booked.contains_key(&i)
     }
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -5,6 +5,7 @@
     config::{SchedConfig, Specs},
     host::{Host, HostInput, HostOutput, Source, TaskState},
     job::{Ending, Gate, Job, Place, TaskStep},
+    recover::{self, Recovered, Recovery, Returning},
     trust::{self, Trust},
 };
 use jasperhill_wire::{
@@ -35,6 +36,8 @@
     Failed(TaskId, HostId, Micros),
     Stopped(TaskId, HostId, &'static str),
     Strange(TaskId, HostId, &'static str),
+    /// Production is whole again.
+    Whole(Recovered),
     /// After a takeover: no host can run what is not known any more. After how long, and on
     /// how many hosts only because their leases lapsed.
     AllKnown(Micros, usize),
@@ -73,6 +76,9 @@
     pub changed: bool,
     /// Since when hosts may run what is not known, until none does.
     haunted_since: Option<Micros>,
+    /// What production has lost, and the room kept for what it may be losing.
+    pub recovery: Recovery,
+    pub(crate) returning: Returning,
 }
 
 /// Attempts are unique by construction: the ownership's revision, then a counter.
@@ -95,13 +101,18 @@
             notes: Vec::new(),
             changed: true,
             haunted_since: None,
+            recovery: Recovery::default(),
+            returning: Returning::default(),
         }
     }
 
     /// Notes when the last host has become known.
     pub(crate) fn note_known(&mut self, now: Micros) {
         match (self.has_ghosts(), self.haunted_since) {
-            (true, None) => self.haunted_since = Some(now),
+            (true, None) => {
+                self.haunted_since = Some(now);
+                self.recovery.apply(recover::Input::TakenOver, now);
+            }
             (false, Some(since)) => {
                 self.haunted_since = None;
                 let lapsed = |h: &&Host| h.reach == crate::host::Reach::Lapsed;
@@ -279,7 +290,7 @@
                 HostOutput::Fenced => {}
                 HostOutput::Running(task) => {
                     if let Some(job) = self.jobs.get_mut(&task.job) {
-                        job.running.insert(task.index);
+                        job.runs(task.index);
                         if let Some(host) = self.hosts.get_mut(id) {
                             host.touch_image(&job.request.image, job.request.image_gb);
                         }
@@ -330,7 +341,7 @@
                         .get(task)
                         .is_some_and(|t| t.state == TaskState::Running)
                     {
-                        job.running.insert(task.index);
+                        job.runs(task.index);
                     }
                 }
             }
@@ -391,6 +402,12 @@
         if !here {
             return;
         }
+        if cause.is_none() {
+            self.note_lost(task, now);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
         let over = job.unsaved.contains(&task.index);
         if let Some(cause) = cause
             && !over
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -147,7 +147,13 @@
             .collect();
         order.sort();
         self.keep_made_room(now);
-        for (_, id) in &order {
+        self.look_after_losses(now);
+        let mut kept = false;
+        for ((band, ..), id) in &order {
+            if *band > 0 && !kept {
+                kept = true;
+                self.keep_room_for_losses(&mut pass);
+            }
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
--- a/crates/jasperhill-sched/src/room.rs
+++ b/crates/jasperhill-sched/src/room.rs
@@ -107,7 +107,7 @@
             return false;
         };
         let (request, priority) = (job.request.clone(), job.priority());
-        let patience = self.config.patience(&request.class);
+        let patience = self.patience_of(job, pass.now);
         let mut zones = zones.clone();
         for (host, _) in &job.making_room {
             if let Some(zone) = self.zone_of(host) {
@@ -134,7 +134,9 @@
             }
             let (mut free, mut chosen, mut loss) = (slot.room, Vec::new(), Micros::ZERO);
             let mut grace = Micros::ZERO;
-            for victim in self.victims(host, priority, false, pass.now) {
+            // Gangs of several tasks go only where there is no room at all: a replica never
+            // waits for a machine that lesser work of any shape holds.
+            for victim in self.victims(host, priority, wait == Micros::MAX, pass.now) {
                 if request.each.fits(&free) {
                     break;
                 }
--- a/crates/jasperhill-sched/src/suit.rs
+++ b/crates/jasperhill-sched/src/suit.rs
@@ -231,7 +231,7 @@
         let behind_none = !is_urgent(job);
         let mut candidates = self.candidates(pass, job, behind_none);
         let mut zones = self.zone_rooms(job);
-        let patience = self.config.patience(&request.class);
+        let patience = self.patience_of(job, pass.now);
         loop {
             let Some(job) = self.jobs.get_mut(id) else {
                 return;
@@ -251,6 +251,9 @@
             // Production does not wait for an image where stopping lesser work elsewhere lets
             // it start at once; room is made for as many of its tasks as wait.
             if production && wait > patience && !suspect {
+                if best.is_none() {
+                    self.note_no_room(pass, id, i);
+                }
                 if making >= pending {
                     return;
                 }
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -745,3 +745,83 @@
     part.drain_some(NOW, (0, 0));
     assert_eq!(drained(&part), Vec::<HostId>::new());
 }
+
+/// The host reports everything that it was told to run as running.
+fn all_runs(part: &mut Partition, host: &str, counter: u64, now: Micros) {
+    let id = HostId::new(host);
+    let tasks = part.hosts[&id].tasks.iter().filter(|(_, t)| t.is_on());
+    let tasks = tasks.map(|(task, t)| TaskReport {
+        task: task.clone(),
+        attempt: t.attempt,
+        phase: TaskPhase::Running,
+    });
+    let report = report(host, 1, counter, 5, tasks.collect());
+    part.on_report(&report, Source::Hello, now);
+    part.apply(&id, HostInput::Answered(&[]), now);
+}
+
+fn whole_host(id: &str, shape: &str, tasks: u32, priority: Priority) -> Rc<JobRequest> {
+    let mut r = (*request(id, shape, tasks, 0.0, None)).clone();
+    r.each = Resources::from_units(16.0, 0.0, 1.0);
+    r.priority = priority;
+    Rc::new(r)
+}
+
+/// Guards against lesser work that takes, while a lease runs out, the room that a lost replica
+/// needs: and against room that stays kept when the host is back.
+#[test]
+fn room_for_a_replica_on_a_silent_host_is_kept_from_lesser_work() {
+    let mut part = partition(2, false);
+    let service = whole_host("job-live", "daemon", 1, Priority::Production);
+    part.upsert_job(&service, Revision(6), NOW, &[], (0, NOW));
+    part.pass(NOW);
+    let home = part.jobs[&JobId::new("job-live")].live[&0].clone();
+    let other = if home.as_str() == "n-1" { "n-2" } else { "n-1" };
+    all_runs(&mut part, home.as_str(), 5, NOW);
+    let silent = NOW + Micros::from_secs(7);
+    part.on_report(&report(other, 1, 5, 5, vec![]), Source::Hello, silent);
+    let lesser = whole_host("job-batch", "array", 1, Priority::Normal);
+    part.upsert_job(&lesser, Revision(7), silent, &[], (0, silent));
+    part.pass(silent);
+    assert_eq!(live(&part, "job-batch"), 0);
+    // It is heard again: the room is free for all.
+    let back = silent + Micros::from_secs(1);
+    all_runs(&mut part, home.as_str(), 6, back);
+    part.pass(back);
+    assert_eq!(live(&part, "job-batch"), 1);
+    // And without it in the way, the replica is whole again as soon as its host is lost.
+    part.end_job(&JobId::new("job-batch"), Ending::Cancelled, back);
+    part.on_report(&report(other, 1, 6, 5, vec![]), Source::Hello, back);
+    part.pass(back);
+    let lost = back + part.config.lapse();
+    part.on_report(&report(other, 1, 7, 5, vec![]), Source::Hello, lost);
+    part.apply(&other.into(), HostInput::Answered(&[]), lost);
+    part.pass(lost);
+    assert!(part.recovery.is_short());
+    let now = part.jobs[&JobId::new("job-live")].live[&0].clone();
+    assert_eq!(now.as_str(), other);
+    all_runs(&mut part, other, 8, lost);
+    part.pass(lost + Micros::from_secs(1));
+    assert!(!part.recovery.is_short());
+}
+
+/// Guards against a replica that waits for as long as a gang of several tasks runs.
+#[test]
+fn a_replica_takes_the_place_of_a_gang_where_there_is_no_other() {
+    let mut part = partition(2, false);
+    let gang = whole_host("job-gang", "ensemble", 2, Priority::High);
+    part.upsert_job(&gang, Revision(6), NOW, &[], (0, NOW));
+    part.pass(NOW);
+    assert_eq!(live(&part, "job-gang"), 2);
+    for (counter, host) in [(5, "n-1"), (6, "n-2")] {
+        all_runs(&mut part, host, counter, NOW);
+    }
+    let service = whole_host("job-live", "daemon", 1, Priority::Production);
+    part.upsert_job(&service, Revision(7), NOW, &[], (0, NOW));
+    part.pass(NOW);
+    let stops = |host: &str| {
+        let orders = part.orders(&host.into());
+        orders.iter().any(|o| matches!(o, Order::Stop(..)))
+    };
+    assert!(stops("n-1") && stops("n-2"));
+}
