Slow machines by what runs there; a pass makes its forward runs and victims once

Need: slow machines showed only by finished tasks. And a pass after the loss of a third of the machines, or over a partition taken over, grew faster than machines and waiting jobs together. Change: sched::progress weighs the tasks that overrun on a machine against how often their classes overrun anywhere, one for each job unless others of the job have ended elsewhere; several convict it while nothing ends in time there. What forward runs begin with, and what could be stopped, is made once a pass and host; gangs without seats or room are remembered. benches/pass.rs measures a pass at fleet size, doubled and doubled again.

--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -622,6 +622,7 @@
         }
         Note::JobSuspect(job) => tracing::info!(%job, "job suspect: it fails wherever it runs"),
         Note::Stopped(task, host, why) => tracing::info!(%task, %host, why, "task stopped"),
+        Note::HostSlow(host, times) => tracing::info!(%host, times, "host slow by what runs there"),
         Note::Whole(r) => tracing::info!(
             after_s = r.after.as_secs_f64(),
             lost = r.lost,
--- /dev/null
+++ b/crates/jasperhill-sched/benches/pass.rs
@@ -0,0 +1,254 @@
+//! What a pass costs at the size of a partition of the largest fleet, and how that grows when
+//! machines and waiting jobs are doubled and doubled again. It must grow no faster than both
+//! together.
+//!
+//! `cargo bench -p jasperhill-sched --bench pass`
+
+use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use jasperhill_sched::{
+    MachineSpec, Partition, SchedConfig, Source, TeamLimits, Tuning, host::HostInput,
+};
+use jasperhill_wire::{
+    HostId, JobId, Micros, Name, Resources, Revision, Token,
+    record::{HostRecord, HostUse},
+    user::{JobRequest, Priority, Shape},
+    worker::{Report, TaskPhase, TaskReport},
+};
+use std::{collections::BTreeMap, hint::black_box, rc::Rc};
+
+const NOW: Micros = Micros::from_secs(10_000);
+/// A third of the largest fleet.
+const HOSTS: u64 = 450;
+
+#[derive(Clone, Copy)]
+enum Kind {
+    Service,
+    Array,
+    Gang,
+}
+
+fn request(kind: Kind, n: u64) -> Rc<JobRequest> {
+    let (shape, priority, tasks, each, deadline) = match kind {
+        Kind::Service => (
+            Shape::Service,
+            Priority::Production,
+            4,
+            (8.0, 1.0, 58.0),
+            None,
+        ),
+        Kind::Array => (
+            Shape::Array,
+            Priority::Normal,
+            40,
+            (10.0, 1.0, 72.0),
+            Some(Micros::from_secs(100)),
+        ),
+        Kind::Gang => (Shape::Gang, Priority::High, 2, (43.0, 4.0, 310.0), None),
+    };
+    Rc::new(JobRequest {
+        id: JobId::new(&format!("job-{}{n:06}", shape as u8)),
+        class: Name::from(format!("class-{}", shape as u8).as_str()),
+        team: Name::from(format!("team-{}", n % 3).as_str()),
+        shape,
+        priority,
+        tasks,
+        each: Resources::from_units(each.0, each.1, each.2),
+        image: Name::from(format!("image-{}", n % 46).as_str()),
+        image_gb: 5.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: matches!(kind, Kind::Service),
+        spot: !matches!(kind, Kind::Service),
+        estimate: Micros::from_secs(40),
+        checkpoint_every: Micros::ZERO,
+        save: Micros::ZERO,
+        deadline,
+        waits_on: Vec::new(),
+    })
+}
+
+fn hosts(part: &Partition) -> Vec<HostId> {
+    part.hosts.keys().cloned().collect()
+}
+
+/// Everything that was told to run is reported as running.
+fn report_all(part: &mut Partition, counter: u64) {
+    for id in hosts(part) {
+        let host = &part.hosts[&id];
+        let tasks = host.tasks.iter().map(|(task, t)| TaskReport {
+            task: task.clone(),
+            attempt: t.attempt,
+            phase: TaskPhase::Running,
+        });
+        let report = Report {
+            host: id.clone(),
+            address: host.address.clone(),
+            kind: host.spec.kind.clone(),
+            zone: host.zone.clone(),
+            spot: host.spot,
+            tenure: 1,
+            counter,
+            token: Token(5),
+            notice: None,
+            tasks: tasks.collect(),
+        };
+        part.on_report(&report, Source::Hello, NOW);
+        part.apply(&id, HostInput::Answered(&[]), NOW);
+    }
+}
+
+fn machines(count: u64) -> Partition {
+    let zones: Vec<Name> = ["a", "b", "c"].map(Name::from).into();
+    let spec = Rc::new(MachineSpec {
+        kind: "box".into(),
+        capacity: Resources::from_units(96.0, 8.0, 768.0),
+        cache_gb: 60.0,
+        fetch_gb_per_s: 0.25,
+        boot: Micros::from_secs(35),
+        price: 20.0,
+        spot_price: 8.0,
+        zones: zones.clone(),
+    });
+    let team = |n: u64| TeamLimits {
+        name: Name::from(format!("team-{n}").as_str()),
+        guaranteed: Resources::default(),
+        most: Resources::default(),
+    };
+    let config = Rc::new(SchedConfig {
+        partitions: 3,
+        teams: (0..3).map(team).collect(),
+        report: Micros::from_secs(6),
+        lease: Micros::from_secs(30),
+        gang_wait: Micros::from_secs(30),
+        gang_peer: Micros::from_secs(8),
+        start_within: BTreeMap::new(),
+        tuning: Tuning::default(),
+    });
+    let specs = Rc::new(BTreeMap::from([(Name::from("box"), spec)]));
+    let mut part = Partition::new(0, Revision(5), config, specs);
+    for n in 0..count {
+        let record = HostRecord {
+            usage: HostUse::Partition(0),
+            address: "10.1.0.1:9000".to_owned(),
+            kind: "box".into(),
+            zone: zones[(n % 3) as usize].clone(),
+            spot: n % 3 == 0,
+            bump: 0,
+        };
+        let id = HostId::new(&format!("n-{n:06}"));
+        part.upsert_host(&id, &record, Revision(4), false, NOW);
+    }
+    report_all(&mut part, 1);
+    part
+}
+
+fn submit(part: &mut Partition, kind: Kind, from: u64, count: u64) {
+    for n in from..from + count {
+        part.upsert_job(&request(kind, n), Revision(6), NOW, &[], (0, NOW));
+    }
+}
+
+/// Machines that are nearly full, and as many jobs again as a fifth of them waiting.
+fn full(scale: u64) -> Partition {
+    let mut part = machines(HOSTS * scale);
+    submit(&mut part, Kind::Service, 0, 120 * scale);
+    submit(&mut part, Kind::Gang, 0, 100 * scale);
+    submit(&mut part, Kind::Array, 0, 60 * scale);
+    for counter in 2..6 {
+        part.pass(NOW);
+        report_all(&mut part, counter);
+    }
+    submit(&mut part, Kind::Gang, 10_000, 60 * scale);
+    submit(&mut part, Kind::Array, 10_000, 30 * scale);
+    part.pass(NOW);
+    report_all(&mut part, 6);
+    part
+}
+
+fn passes(c: &mut Criterion) {
+    let mut group = c.benchmark_group("pass");
+    group.sample_size(10);
+    for scale in [1, 2, 4] {
+        group.throughput(Throughput::Elements(HOSTS * scale));
+        // Nothing can start: what every change costs while work waits behind a full fleet.
+        let mut waiting = full(scale);
+        group.bench_function(BenchmarkId::new("work waits", HOSTS * scale), |b| {
+            b.iter(|| waiting.pass(black_box(NOW)));
+        });
+        // A third of the machines fail in one moment: the pass that follows.
+        group.bench_function(BenchmarkId::new("a third is lost", HOSTS * scale), |b| {
+            let lost = || {
+                let mut part = full(scale);
+                for id in hosts(&part).iter().step_by(3) {
+                    part.apply(id, HostInput::Gone, NOW);
+                }
+                part
+            };
+            let pass = |mut part: Partition| {
+                part.pass(black_box(NOW));
+                part
+            };
+            b.iter_batched(lost, pass, BatchSize::PerIteration);
+        });
+        // A takeover of this many machines: all their reports, and the pass that follows.
+        group.bench_function(BenchmarkId::new("taken over", HOSTS * scale), |b| {
+            let known = full(scale);
+            let reports: Vec<Report> = hosts(&known)
+                .into_iter()
+                .map(|id| {
+                    let host = &known.hosts[&id];
+                    let tasks = host.tasks.iter().map(|(task, t)| TaskReport {
+                        task: task.clone(),
+                        attempt: t.attempt,
+                        phase: TaskPhase::Running,
+                    });
+                    Report {
+                        address: host.address.clone(),
+                        kind: host.spec.kind.clone(),
+                        zone: host.zone.clone(),
+                        spot: host.spot,
+                        tenure: 1,
+                        counter: 99,
+                        token: Token(9),
+                        notice: None,
+                        tasks: tasks.collect(),
+                        host: id,
+                    }
+                })
+                .collect();
+            let requests: Vec<_> = known.jobs.values().map(|j| j.request.clone()).collect();
+            let begin = || {
+                let (config, specs) = (known.config.clone(), known.specs.clone());
+                let mut part = Partition::new(0, Revision(9), config, specs);
+                for (id, host) in &known.hosts {
+                    let record = HostRecord {
+                        usage: HostUse::Partition(0),
+                        address: host.address.clone(),
+                        kind: host.spec.kind.clone(),
+                        zone: host.zone.clone(),
+                        spot: host.spot,
+                        bump: 0,
+                    };
+                    part.upsert_host(id, &record, Revision(4), true, NOW);
+                }
+                for request in &requests {
+                    part.upsert_job(request, Revision(6), NOW, &[], (0, NOW));
+                }
+                part
+            };
+            let take = |mut part: Partition| {
+                for report in &reports {
+                    part.on_report(report, Source::Direct, NOW);
+                }
+                part.pass(black_box(NOW));
+                part
+            };
+            b.iter_batched(begin, take, BatchSize::PerIteration);
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, passes);
+criterion_main!(benches);
--- a/crates/jasperhill-sched/src/book.rs
+++ b/crates/jasperhill-sched/src/book.rs
@@ -7,13 +7,14 @@
     host::{Host, TaskState},
     job::{Job, TaskStep},
     partition::{Partition, Verdict},
-    pass::Pass,
+    pass::{Begin, Pass},
     suit::start_delay,
 };
 use jasperhill_wire::{HostId, JobId, Micros, TaskId, user::JobRequest};
 use std::{
     cmp::{Ordering, Reverse},
     collections::{BTreeMap, BinaryHeap},
+    rc::Rc,
 };
 
 /// Tasks of one job that are booked in one pass; the rest follows in later ones.
@@ -99,8 +100,18 @@
         occupied
     }
 
+    /// What the forward runs on a host begin with.
+    pub(crate) fn begin(&self, host: &Host, now: Micros) -> Begin {
+        let running: Rc<[Occupied]> = self.occupied(host, now).into();
+        Begin {
+            misses: misses(now, host.room(), &running, &host.queue),
+            running,
+        }
+    }
+
     /// The forward run on one host with one more booking: new misses, and the density.
-    fn rank(&self, host: &Host, slot: usize, booking: &Booking, now: Micros) -> Rank {
+    fn rank(&self, pass: &Pass, host: &Host, slot: usize, booking: &Booking) -> Rank {
+        let now = pass.now;
         let room = host.room();
         if host.queue.is_empty() && booking.each.fits(&room) {
             // Starts at once: nothing else bears on it.
@@ -112,12 +123,11 @@
                 slot,
             };
         }
-        let running = self.occupied(host, now);
-        let before = misses(now, room, &running, &host.queue);
+        let begin = pass.begin(slot, || self.begin(host, now));
         let (head, tail) = host.queue.split_at(place(&host.queue, booking));
         let with = || head.iter().chain([booking]).chain(tail);
         Rank {
-            missed: misses(now, room, &running, with()).saturating_sub(before),
+            missed: misses(now, room, &begin.running, with()).saturating_sub(begin.misses),
             dense: density(now, with()),
             slot,
         }
@@ -152,7 +162,7 @@
             })
             .map(|(i, _, host)| {
                 let booking = self.booking(host, &any, &request, due, pass.now);
-                Reverse(self.rank(host, i, &booking, pass.now))
+                Reverse(self.rank(pass, host, i, &booking))
             })
             .collect();
         for more in 1..=BOOK_MAX {
@@ -186,8 +196,9 @@
                 insert(&mut host.queue, booking.clone());
             }
             self.set_step(&task, TaskStep::Booked(id.clone()));
+            pass.forget(slot);
             if let Some(host) = self.hosts.get(&id) {
-                heap.push(Reverse(self.rank(host, slot, &booking, pass.now)));
+                heap.push(Reverse(self.rank(pass, host, slot, &booking)));
             }
         }
     }
--- a/crates/jasperhill-sched/src/gang.rs
+++ b/crates/jasperhill-sched/src/gang.rs
@@ -29,7 +29,9 @@
             return;
         }
         let mut best: Option<(u64, Vec<usize>)> = None;
-        if !pass.is_hopeless(&request.each) {
+        let priority = job.priority();
+        let looked = !pass.is_hopeless(&request.each) && !pass.is_seatless(priority, &request);
+        if looked {
             for zones in self.zone_sets(pass, &request) {
                 if let Some((cost, slots)) = self.seats(pass, job, &request, &zones)
                     && best.as_ref().is_none_or(|(c, _)| cost < *c)
@@ -38,6 +40,14 @@
                 }
             }
         }
+        // Where it is listed itself does not count for others.
+        if best.is_none()
+            && looked
+            && !job.trust.avoids_any()
+            && !self.hosts.values().any(|h| h.lists(id))
+        {
+            pass.note_seatless(priority, &request);
+        }
         match best {
             Some((_, slots)) => {
                 let attempt = self.next_attempt();
@@ -90,7 +100,7 @@
             .with_slots(pass)
             .filter(|(i, _, _)| pass.fits(*i, &request.id, &request.each))
             .filter(|(_, _, host)| zones.contains(&host.zone) && Self::suits(job, host))
-            .filter(|(_, _, host)| !host.tasks.keys().any(|t| t.job == request.id))
+            .filter(|(_, _, host)| !host.lists(&request.id))
             .map(|(i, slot, host)| (i, slot.room, host))
             .collect();
         // Most waiting gangs end here, before any host is judged.
@@ -149,7 +159,7 @@
             .with_slots(pass)
             .filter(|(_, slot, _)| slot.usable && slot.reserved.is_none())
             .filter(|(_, _, h)| Self::suits(job, h))
-            .filter_map(|(i, _, h)| self.free_at(h, &request.each, pass.now).map(|t| (t, i, h)))
+            .filter_map(|(i, _, h)| Some((self.free_at(pass, (i, h), &request.each)?, i, h)))
             .collect();
         ready.sort_by_key(|(t, i, _)| (*t, *i));
         let zone = request
@@ -215,13 +225,20 @@
     }
 
     /// When the host is expected to have room for this, if ever.
-    fn free_at(&self, host: &Host, each: &Resources, now: Micros) -> Option<Micros> {
+    fn free_at(
+        &self,
+        pass: &Pass,
+        (slot, host): (usize, &Host),
+        each: &Resources,
+    ) -> Option<Micros> {
+        let now = pass.now;
         let mut room = host.room();
         if each.fits(&room) {
             return Some(now);
         }
         let mut at = now;
-        for o in self.occupied(host, now).into_iter().rev() {
+        let begin = pass.begin(slot, || self.begin(host, now));
+        for o in begin.running.iter().rev() {
             if each.fits(&room) {
                 return Some(at);
             }
--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -1,7 +1,10 @@
 //! The host machine: what a worker runs, may run and has been told. Every change of its
 //! state goes through [`Host::apply`].
 
-use crate::config::{MachineSpec, SchedConfig};
+use crate::{
+    config::{MachineSpec, SchedConfig},
+    progress::Pace,
+};
 use jasperhill_wire::{
     Attempt, HostId, JobId, Micros, Name, Resources, TaskId, Token,
     record::{HostRecord, HostUse},
@@ -168,6 +171,11 @@
     pub proved: Option<Micros>,
     /// Run times against expectation, smoothed; above 1 is slow.
     pub slowness: f64,
+    /// Whether it keeps pace by what runs there, since when it does not, and when a task last
+    /// ended in time.
+    pub pace: Pace,
+    pub convicted: Option<Micros>,
+    pub in_time: Option<Micros>,
 }
 
 impl Host {
@@ -209,6 +217,9 @@
             aside_until: None,
             proved: None,
             slowness: 1.0,
+            pace: Pace::Steady,
+            convicted: None,
+            in_time: None,
         }
     }
 
@@ -309,6 +320,13 @@
         self.tasks.len() + self.stale.len()
     }
 
+    /// Lists some task of this job.
+    pub fn lists(&self, job: &JobId) -> bool {
+        let first = TaskId::new(job, 0);
+        let next = self.tasks.range(first..).next();
+        next.is_some_and(|(task, _)| &task.job == job)
+    }
+
     pub fn room(&self) -> Resources {
         let mut room = self.spec.capacity;
         room -= self.used;
@@ -632,22 +650,32 @@
         if self.fetching == 0 {
             return Micros::from_secs_f64(gb / self.spec.fetch_gb_per_s.max(1e-6));
         }
-        let mut coming: BTreeMap<&Name, (f64, Micros)> = BTreeMap::new();
+        // A handful of images at most: a list is quicker than a map, and this is asked for every
+        // job and host.
+        let mut coming: Vec<(&Name, f64, Micros)> = Vec::new();
         for t in self.tasks.values() {
             if let (TaskState::Ordered | TaskState::Fetching, Some((name, gb))) =
                 (t.state, &t.image)
                 && !self.has_image(name)
             {
-                let entry = coming.entry(name).or_insert((*gb, t.ordered));
-                entry.1 = entry.1.min(t.ordered);
+                match coming.iter_mut().find(|(n, ..)| *n == name) {
+                    Some((.., since)) => *since = t.ordered.min(*since),
+                    None => coming.push((name, *gb, t.ordered)),
+                }
             }
         }
-        coming.entry(image).or_insert((gb, now));
+        if coming.iter().all(|(n, ..)| *n != image) {
+            coming.push((image, gb, now));
+        }
         let rate = self.spec.fetch_gb_per_s.max(1e-6) / coming.len() as f64;
-        let rest = |(gb, since): (f64, Micros)| (gb - (now - since).as_secs_f64() * rate).max(0.0);
-        let mine = coming.get(image).map_or(gb, |e| rest(*e));
+        let rest = |gb: f64, since: Micros| (gb - (now - since).as_secs_f64() * rate).max(0.0);
+        let mine = coming.iter().find(|(n, ..)| *n == image);
+        let mine = mine.map_or(gb, |(_, gb, since)| rest(*gb, *since));
         // The others slow it down as long as they last.
-        let shared: f64 = coming.values().map(|e| rest(*e).min(mine)).sum();
+        let shared: f64 = coming
+            .iter()
+            .map(|(_, gb, since)| rest(*gb, *since).min(mine))
+            .sum();
         Micros::from_secs_f64(shared / self.spec.fetch_gb_per_s.max(1e-6))
     }
 }
--- a/crates/jasperhill-sched/src/job.rs
+++ b/crates/jasperhill-sched/src/job.rs
@@ -1,7 +1,7 @@
 //! The job machine: which tasks of a job are finished, live, booked or pending. Every change
 //! of a task's state goes through [`Job::set`].
 
-use crate::{done::DoneSet, trust::Trust};
+use crate::{done::DoneSet, progress::Siblings, trust::Trust};
 use jasperhill_wire::{
     Attempt, HostId, Micros, Resources, Revision,
     user::{JobRequest, Priority, Shape},
@@ -78,6 +78,8 @@
     pub running: BTreeSet<u32>,
     /// All its tasks have run at the same time.
     pub ran_whole: bool,
+    /// How long its ended tasks ran.
+    pub siblings: Siblings,
     /// Below this every task is done, live, booked or in `returned`.
     cursor: u32,
     returned: BTreeSet<u32>,
@@ -123,6 +125,7 @@
             booked: BTreeMap::new(),
             running: BTreeSet::new(),
             ran_whole: false,
+            siblings: Siblings::default(),
             cursor: 0,
             returned: BTreeSet::new(),
             ending: None,
--- a/crates/jasperhill-sched/src/lib.rs
+++ b/crates/jasperhill-sched/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod pass;
 #[cfg(test)]
 mod plain;
+pub mod progress;
 pub mod recover;
 pub mod room;
 pub mod split;
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -5,6 +5,7 @@
     config::{SchedConfig, Specs},
     host::{Host, HostInput, HostOutput, Source, TaskState},
     job::{Ending, Gate, Job, Place, TaskStep},
+    progress::Watched,
     recover::{self, Recovered, Recovery, Returning},
     trust::{self, Trust},
 };
@@ -36,6 +37,8 @@
     Failed(TaskId, HostId, Micros),
     Stopped(TaskId, HostId, &'static str),
     Strange(TaskId, HostId, &'static str),
+    /// Its tasks take so many times as long.
+    HostSlow(HostId, f64),
     /// Production is whole again.
     Whole(Recovered),
     /// After a takeover: no host can run what is not known any more. After how long, and on
@@ -79,6 +82,7 @@
     /// What production has lost, and the room kept for what it may be losing.
     pub recovery: Recovery,
     pub(crate) returning: Returning,
+    pub(crate) watched: Watched,
 }
 
 /// Attempts are unique by construction: the ownership's revision, then a counter.
@@ -103,6 +107,7 @@
             haunted_since: None,
             recovery: Recovery::default(),
             returning: Returning::default(),
+            watched: Watched::default(),
         }
     }
 
@@ -295,6 +300,7 @@
                             host.touch_image(&job.request.image, job.request.image_gb);
                         }
                     }
+                    self.watch_pace(id, &task);
                 }
                 HostOutput::Found(task, attempt) => self.found(id, &task, attempt, now),
                 HostOutput::Ended(task, cause) => self.ended(id, &task, cause, now),
@@ -560,7 +566,9 @@
         let seen = ((now - began).as_secs_f64() / estimate).clamp(0.2, 5.0);
         let ratio = self.ratios.entry(job.request.class.clone()).or_insert(1.0);
         *ratio += 0.05 * (seen - *ratio);
-        host.slowness += 0.2 * ((seen / ratio.max(0.1)).clamp(0.2, 5.0) - host.slowness);
+        let times = (seen / ratio.max(0.1)).clamp(0.2, 5.0);
+        host.slowness += 0.2 * (times - host.slowness);
+        self.learn_pace(id, task, times, now);
     }
 
     /// The estimate, corrected by what was observed of the class.
--- a/crates/jasperhill-sched/src/pass.rs
+++ b/crates/jasperhill-sched/src/pass.rs
@@ -3,15 +3,17 @@
 //! are in `suit`, `book`, `gang`, `room` and `drain`.
 
 use crate::{
+    forward::Occupied,
     host::{Host, HostInput, LISTED_MAX},
     job::{Gate, Job, TaskStep},
     partition::{Ghosts, Partition},
+    room::Victim,
 };
 use jasperhill_wire::{
     Attempt, HostId, JobId, Micros, Name, Resources, TaskId,
     user::{JobRequest, Priority, Shape},
 };
-use std::collections::BTreeMap;
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 /// A host as a pass sees it.
 pub(crate) struct Slot {
@@ -25,6 +27,37 @@
     pub reserved: Option<JobId>,
 }
 
+/// What the forward runs on a host begin with. Made once, until something starts or stops there:
+/// many jobs are played on every host in one pass.
+#[derive(Clone)]
+pub(crate) struct Begin {
+    pub running: Rc<[Occupied]>,
+    /// Bookings that miss already.
+    pub misses: usize,
+}
+
+/// By slot, if known.
+type Victims = Vec<Option<Rc<[Victim]>>>;
+
+/// A gang for which there was nothing in this pass, so that there is nothing for one like it
+/// that is as large and no more important. Room, and what could be stopped, only shrink.
+struct Hopeless {
+    priority: Priority,
+    request: Rc<JobRequest>,
+}
+
+impl Hopeless {
+    fn covers(&self, priority: Priority, r: &JobRequest) -> bool {
+        let known = &self.request;
+        self.priority <= priority
+            && known.tasks <= r.tasks
+            && known.each.fits(&r.each)
+            && known.types == r.types
+            && known.zone == r.zone
+            && (known.one_zone, known.spread, known.spot) == (r.one_zone, r.spread, r.spot)
+    }
+}
+
 /// What a pass keeps track of.
 pub(crate) struct Pass {
     pub now: Micros,
@@ -36,6 +69,13 @@
     /// Amounts for which no host has room. Room only shrinks during a pass, so these stay
     /// true: what waits behind a full fleet costs one comparison, not a look at every host.
     hopeless: Vec<Resources>,
+    begins: RefCell<Vec<Option<Begin>>>,
+    /// What could be stopped on each host for work of a priority, gangs of several tasks included
+    /// or not; made once like the beginnings.
+    victims: RefCell<BTreeMap<(Priority, bool), Victims>>,
+    /// Gangs without seats, and those for which no room can be made.
+    seatless: Vec<Hopeless>,
+    roomless: Vec<Hopeless>,
     /// Gangs that keep hosts free, and how many hosts.
     pub reserving: (usize, usize),
 }
@@ -53,11 +93,68 @@
         })
     }
     pub fn take(&mut self, i: usize, each: &Resources) {
+        self.forget(i);
         if let Some(slot) = self.slots.get_mut(i) {
             slot.room -= *each;
             slot.listed += 1;
         }
     }
+    /// The forward runs on this host begin differently now.
+    pub fn forget(&self, i: usize) {
+        if let Some(begin) = self.begins.borrow_mut().get_mut(i) {
+            *begin = None;
+        }
+        for known in self.victims.borrow_mut().values_mut() {
+            if let Some(victims) = known.get_mut(i) {
+                *victims = None;
+            }
+        }
+    }
+    pub fn forget_host(&self, host: &HostId) {
+        if let Some(i) = self.slot(host) {
+            self.forget(i);
+        }
+    }
+    pub fn victims(
+        &self,
+        i: usize,
+        than: Priority,
+        whole: bool,
+        make: impl FnOnce() -> Vec<Victim>,
+    ) -> Rc<[Victim]> {
+        let mut all = self.victims.borrow_mut();
+        let known = all.entry((than, whole)).or_default();
+        known.resize(self.slots.len(), None);
+        match known.get_mut(i) {
+            Some(Some(victims)) => victims.clone(),
+            Some(place) => place.insert(make().into()).clone(),
+            None => make().into(),
+        }
+    }
+    pub fn begin(&self, i: usize, make: impl FnOnce() -> Begin) -> Begin {
+        let known = self.begins.borrow().get(i).cloned().flatten();
+        known.unwrap_or_else(|| {
+            let begin = make();
+            if let Some(place) = self.begins.borrow_mut().get_mut(i) {
+                *place = Some(begin.clone());
+            }
+            begin
+        })
+    }
+    pub fn is_seatless(&self, priority: Priority, r: &JobRequest) -> bool {
+        self.seatless.iter().any(|h| h.covers(priority, r))
+    }
+    pub fn note_seatless(&mut self, priority: Priority, request: &Rc<JobRequest>) {
+        let request = request.clone();
+        self.seatless.push(Hopeless { priority, request });
+    }
+    pub fn is_roomless(&self, priority: Priority, r: &JobRequest) -> bool {
+        self.roomless.iter().any(|h| h.covers(priority, r))
+    }
+    pub fn note_roomless(&mut self, priority: Priority, request: &Rc<JobRequest>) {
+        let request = request.clone();
+        self.roomless.push(Hopeless { priority, request });
+    }
     /// No usable host has room for this.
     pub fn is_hopeless(&mut self, each: &Resources) -> bool {
         if self.hopeless.iter().any(|h| h.fits(each)) {
@@ -101,9 +198,13 @@
         Pass {
             now,
             ghosts,
+            begins: RefCell::new(vec![None; self.hosts.len()]),
+            victims: RefCell::default(),
             slots,
             haunted,
             hopeless: Vec::new(),
+            seatless: Vec::new(),
+            roomless: Vec::new(),
             reserving: (0, 0),
         }
     }
@@ -127,6 +228,7 @@
         self.note_known(now);
         self.mend_gangs(now);
         self.clear_suspects(now);
+        self.watch_overruns(now);
         self.drain_noticed(now);
         self.move_replicas(now);
         let mut pass = self.look(now);
@@ -265,6 +367,9 @@
         let request = job.request.clone();
         let each = request.each;
         let attempt = attempt.unwrap_or_else(|| self.next_attempt());
+        if let Some(home) = self.jobs.get(id).and_then(|j| j.booked.get(&i)) {
+            pass.forget_host(home);
+        }
         self.unbook(id, i);
         self.set_step(&task, TaskStep::Live(host.clone()));
         let image = (request.image.clone(), request.image_gb);
--- a/crates/jasperhill-sched/src/room.rs
+++ b/crates/jasperhill-sched/src/room.rs
@@ -21,7 +21,7 @@
 const FRESH_COST: Micros = Micros::from_secs(10);
 
 /// Work that could be stopped.
-struct Victim {
+pub(crate) struct Victim {
     /// Work lost by stopping it.
     lost: Micros,
     task: TaskId,
@@ -71,7 +71,9 @@
         victims
     }
 
-    fn stop_victims(&mut self, host: &HostId, victims: &[TaskId], why: &'static str, now: Micros) {
+    fn stop_victims(&mut self, pass: &Pass, host: &HostId, victims: &[TaskId], why: &'static str) {
+        let now = pass.now;
+        pass.forget_host(host);
         for task in victims {
             let Some(other) = self.jobs.get_mut(&task.job) else {
                 continue;
@@ -83,6 +85,9 @@
                 Micros::ZERO
             };
             let whole = other.is_gang();
+            if whole {
+                other.live.values().for_each(|h| pass.forget_host(h));
+            }
             self.notes
                 .push(Note::Stopped(task.clone(), host.clone(), why));
             if whole {
@@ -136,14 +141,18 @@
             let mut grace = Micros::ZERO;
             // Gangs of several tasks go only where there is no room at all: a replica never
             // waits for a machine that lesser work of any shape holds.
-            for victim in self.victims(host, priority, wait == Micros::MAX, pass.now) {
+            let whole = wait == Micros::MAX;
+            let victims = pass.victims(at, priority, whole, || {
+                self.victims(host, priority, whole, pass.now)
+            });
+            for victim in victims.iter() {
                 if request.each.fits(&free) {
                     break;
                 }
                 free += victim.each;
                 loss += victim.lost;
                 grace = grace.max(victim.grace);
-                chosen.push(victim.task);
+                chosen.push(victim.task.clone());
             }
             let delay = delay + grace;
             let sooner = wait == Micros::MAX || delay + patience < wait;
@@ -158,7 +167,7 @@
             return false;
         };
         let host = pass.slots[at].id.clone();
-        self.stop_victims(&host, &victims, "room for production", pass.now);
+        self.stop_victims(pass, &host, &victims, "room for production");
         if let Some(job) = self.jobs.get_mut(id) {
             job.making_room.push((host, pass.now + grace + ROOM_KEPT));
         }
@@ -181,6 +190,10 @@
         {
             return;
         }
+        if pass.is_roomless(priority, &request) {
+            return;
+        }
+        let mut listed = false;
         /// A place for one more task: what it costs, where, and who must go for it.
         struct Seat {
             cost: u64,
@@ -194,10 +207,13 @@
                 || slot.reserved.as_ref().is_some_and(|j| j != id)
                 || !Self::suits(job, host)
                 || !request.each.fits(&host.spec.capacity)
-                || host.tasks.keys().any(|t| &t.job == id)
             {
                 continue;
             }
+            if host.lists(id) {
+                listed = true;
+                continue;
+            }
             let delay = start_delay(host, &request, pass.now).0;
             let zone = if request.one_zone {
                 host.zone.clone()
@@ -218,14 +234,17 @@
                 });
             }
             let (mut go, mut loss, mut grace) = (Vec::new(), 0, Micros::ZERO);
-            for victim in self.victims(host, priority, true, pass.now) {
+            let victims = pass.victims(at, priority, true, || {
+                self.victims(host, priority, true, pass.now)
+            });
+            for victim in victims.iter() {
                 if found >= request.tasks {
                     break;
                 }
                 free += victim.each;
                 loss += victim.lost.0;
                 grace = grace.max(victim.grace);
-                go.push(victim.task);
+                go.push(victim.task.clone());
                 if request.each.fits(&free) {
                     free -= request.each;
                     found += 1;
@@ -257,13 +276,19 @@
                 best = Some((total, chosen));
             }
         }
-        let Some((_, chosen)) = best else { return };
+        let Some((_, chosen)) = best else {
+            // Where it is itself does not count for others.
+            if !listed && !job.trust.avoids_any() {
+                pass.note_roomless(priority, &request);
+            }
+            return;
+        };
         let grace = chosen.iter().map(|s| s.grace).max().unwrap_or_default();
         let until = pass.now + grace + ROOM_KEPT;
         let hosts: BTreeSet<usize> = chosen.iter().map(|s| s.at).collect();
         for seat in &chosen {
             let host = pass.slots[seat.at].id.clone();
-            self.stop_victims(&host, &seat.victims, "room for a gang", pass.now);
+            self.stop_victims(pass, &host, &seat.victims, "room for a gang");
         }
         let hosts: Vec<HostId> = hosts.iter().map(|at| pass.slots[*at].id.clone()).collect();
         if let Some(job) = self.jobs.get_mut(id) {
--- a/crates/jasperhill-sched/src/trust.rs
+++ b/crates/jasperhill-sched/src/trust.rs
@@ -85,6 +85,11 @@
         matches!(self, Self::Doubted(hosts) if hosts.contains_key(host))
     }
 
+    /// There are hosts that it should not go to again.
+    pub fn avoids_any(&self) -> bool {
+        matches!(self, Self::Doubted(_))
+    }
+
     /// It may try now.
     pub fn may_try(&self, now: Micros) -> bool {
         !matches!(self, Self::Suspect { next, .. } if now < *next)
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -825,3 +825,57 @@
     };
     assert!(stops("n-1") && stops("n-2"));
 }
+
+/// A job of one task with an estimate, on as much of a host as leaves room for others.
+fn timed(id: &str, estimate: u64) -> Rc<JobRequest> {
+    let mut r = (*request(id, "array", 1, 0.0, None)).clone();
+    r.each = Resources::from_units(4.0, 0.0, 1.0);
+    r.estimate = Micros::from_secs(estimate);
+    Rc::new(r)
+}
+
+/// Guards against a machine that is blamed for a task that is merely long, and against a slow
+/// one that is found out only when its tasks have ended.
+#[test]
+fn a_machine_is_slow_by_several_tasks_that_overrun_and_not_by_one() {
+    let slow = |estimates: &[u64], ended: bool| {
+        let mut part = partition(1, false);
+        let host = HostId::new("n-1");
+        for (n, estimate) in estimates.iter().enumerate() {
+            let job = timed(&format!("job-{n}"), *estimate);
+            part.upsert_job(&job, Revision(6), NOW, &[], (0, NOW));
+        }
+        part.pass(NOW);
+        assert_eq!(part.hosts[&host].tasks.len(), estimates.len());
+        all_runs(&mut part, "n-1", 5, NOW);
+        if ended {
+            // Another task there ends in time, just before.
+            let at = NOW + Micros::from_secs(18);
+            part.upsert_job(&timed("job-x", 10), Revision(6), NOW, &[], (0, NOW));
+            part.pass(NOW);
+            all_runs(&mut part, "n-1", 6, NOW + Micros::from_secs(9));
+            let tasks = part.hosts[&host].tasks.iter();
+            let tasks = tasks.map(|(task, t)| TaskReport {
+                task: task.clone(),
+                attempt: t.attempt,
+                phase: match task.job.as_str() {
+                    "job-x" => TaskPhase::Exited(Cause::Done),
+                    _ => TaskPhase::Running,
+                },
+            });
+            let report = report("n-1", 1, 7, 5, tasks.collect());
+            part.on_report(&report, Source::Hello, at);
+        }
+        let over = NOW + Micros::from_secs(21);
+        all_runs(&mut part, "n-1", 9, over);
+        part.pass(over);
+        (
+            part.hosts[&host].pace.is_slow(),
+            part.hosts[&host].slowness > 1.5,
+        )
+    };
+    assert_eq!(slow(&[10, 10, 10], false), (true, true));
+    assert_eq!(slow(&[10, 300, 300], false), (false, false));
+    assert_eq!(slow(&[10], false), (false, false));
+    assert_eq!(slow(&[10, 10, 10], true), (false, false));
+}
