--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     config::{SchedConfig, Specs},
+    drain::Moves,
     host::{Host, HostInput, HostOutput, Source, TaskState},
     job::{Ending, Gate, Job, Place, TaskStep},
     progress::Watched,
@@ -83,6 +84,7 @@
     pub recovery: Recovery,
     pub(crate) returning: Returning,
     pub(crate) watched: Watched,
+    pub(crate) moves: Moves,
 }
 
 /// Attempts are unique by construction: the ownership's revision, then a counter.
@@ -108,6 +110,7 @@
             recovery: Recovery::default(),
             returning: Returning::default(),
             watched: Watched::default(),
+            moves: Moves::default(),
         }
     }
 
