One function stops a task, or its gang, with the time to save

Need: spot notices, slow machines and room for others each wrote out the same stop with its grace. Change: Partition::make_way serves all three; behaviour as it was.

--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -684,24 +684,38 @@
                     continue;
                 };
                 if t.is_on() && t.stopping.is_none() && job.checkpoints() {
-                    stops.push((
-                        host.id.clone(),
-                        task.clone(),
-                        job.request.save,
-                        job.is_gang(),
-                    ));
+                    stops.push((host.id.clone(), task.clone()));
                 }
             }
         }
-        for (host, task, save, gang) in stops {
-            let grace = save + Micros::from_secs(1);
-            self.notes
-                .push(Note::Stopped(task.clone(), host.clone(), "spot notice"));
-            if gang {
-                self.stop_all(&task.job, grace, now);
-            } else {
-                self.stop(&host, &task, grace, now);
-            }
+        for (host, task) in stops {
+            self.make_way(&host, &task, "spot notice", now);
+        }
+    }
+
+    /// Stops a task, and its gang with it, with the time to save if it can.
+    pub(crate) fn make_way(
+        &mut self,
+        host: &HostId,
+        task: &TaskId,
+        why: &'static str,
+        now: Micros,
+    ) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let grace = if job.checkpoints() {
+            job.request.save + Micros::from_secs(1)
+        } else {
+            Micros::ZERO
+        };
+        let gang = job.is_gang();
+        self.notes
+            .push(Note::Stopped(task.clone(), host.clone(), why));
+        if gang {
+            self.stop_all(&task.job, grace, now);
+        } else {
+            self.stop(host, task, grace, now);
         }
     }
 
--- a/crates/jasperhill-sched/src/progress.rs
+++ b/crates/jasperhill-sched/src/progress.rs
@@ -134,7 +134,7 @@
             return Some((took.max(LEAST), true));
         }
         // What was stopped before goes on where it was: its estimate says too much.
-        (job.preempted == 0 && !job.request.estimate.eq(&Micros::ZERO))
+        (job.preempted == 0 && job.request.estimate > Micros::ZERO)
             .then(|| (self.estimate(&job.request).max(LEAST), false))
     }
 
@@ -278,24 +278,14 @@
                 && job.checkpoints()
                 && job.preempted == 0
             {
-                moves.push((task.clone(), job.request.save, job.is_gang()));
+                moves.push(task.clone());
             }
         }
-        for (task, save, gang) in moves {
+        for task in moves {
             if let Some(job) = self.jobs.get_mut(&task.job) {
                 job.preempted += 1;
             }
-            self.notes.push(Note::Stopped(
-                task.clone(),
-                id.clone(),
-                "moved off a slow host",
-            ));
-            let grace = save + Micros::from_secs(1);
-            if gang {
-                self.stop_all(&task.job, grace, now);
-            } else {
-                self.stop(id, &task, grace, now);
-            }
+            self.make_way(id, &task, "moved off a slow host", now);
         }
     }
 }
--- a/crates/jasperhill-sched/src/room.rs
+++ b/crates/jasperhill-sched/src/room.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     host::Host,
-    partition::{Note, Partition},
+    partition::Partition,
     pass::Pass,
     suit::{ZoneRooms, start_delay},
 };
@@ -72,29 +72,16 @@
     }
 
     fn stop_victims(&mut self, pass: &Pass, host: &HostId, victims: &[TaskId], why: &'static str) {
-        let now = pass.now;
         pass.forget_host(host);
         for task in victims {
             let Some(other) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
             other.preempted += 1;
-            let grace = if other.checkpoints() {
-                other.request.save + Micros::from_secs(1)
-            } else {
-                Micros::ZERO
-            };
-            let whole = other.is_gang();
-            if whole {
+            if other.is_gang() {
                 other.live.values().for_each(|h| pass.forget_host(h));
             }
-            self.notes
-                .push(Note::Stopped(task.clone(), host.clone(), why));
-            if whole {
-                self.stop_all(&task.job, grace, now);
-            } else {
-                self.stop(host, task, grace, now);
-            }
+            self.make_way(host, task, why, pass.now);
         }
     }
 
