--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -2,7 +2,6 @@
 //! never borrowed across an await.
 
 use crate::{
-    authority::{self, Authority, Session},
     budget::Bucket,
     clock::Clock,
     cloud::Leader,
@@ -17,6 +16,11 @@
     upgrade::{Seen, Upgrade},
 };
 use jasperhill_http::{Request, Response};
+use jasperhill_members::{
+    Roles,
+    authority::{self, Authority, Session},
+    roles,
+};
 use jasperhill_sched::{
     Partition, SchedConfig,
     chain::Standing,
@@ -26,10 +30,7 @@
     partition::Note,
 };
 use jasperhill_wire::{
-    HostId, JobId, Member, Micros, Name, Revision,
-    record::{RecordPhase, Role},
-    user::JobRequest,
-    worker::Report,
+    HostId, JobId, Member, Micros, Name, record::RecordPhase, user::JobRequest, worker::Report,
 };
 use std::{
     cell::RefCell,
@@ -81,14 +82,7 @@
     pub barrier: Vec<oneshot::Sender<bool>>,
     pub requests: Bucket,
     pub cloud: Bucket,
-    /// Ownerships given up on purpose, by the revision that is no longer acted on.
-    pub relinquished: BTreeMap<Role, Revision>,
-    /// Roles with a takeover under way.
-    pub taking: BTreeSet<Role>,
-    /// Since when a role has been without an owner.
-    pub orphaned: BTreeMap<Role, Micros>,
-    /// Since when a member has had a session.
-    pub alive: BTreeMap<Member, Micros>,
+    pub roles: Roles,
     pub saving: BTreeSet<JobId>,
     /// Jobs whose records are being cancelled because a job before them is.
     pub cancelling: BTreeSet<JobId>,
@@ -168,10 +162,7 @@
             barrier: Vec::new(),
             requests: Bucket::new(rps, rps, now),
             cloud: Bucket::new(settings.cloud_rps * 0.8, settings.cloud_rps, now),
-            relinquished: BTreeMap::new(),
-            taking: BTreeSet::new(),
-            orphaned: BTreeMap::new(),
-            alive: BTreeMap::new(),
+            roles: Roles::new(settings.member.clone(), settings.members(), settings.size),
             saving: BTreeSet::new(),
             cancelling: BTreeSet::new(),
             partial_due: BTreeMap::new(),
@@ -271,11 +262,6 @@
         self.split.get(team).copied()
     }
 
-    /// The controller that a partition falls to by default.
-    pub fn home(&self, partition: u32) -> &Member {
-        &self.members[partition as usize % self.members.len()]
-    }
-
     /// Feeds the mirror and carries its changes over to all that depends on it.
     pub fn apply_mirror(&self, input: mirror::Input) {
         let now = self.now();
@@ -312,11 +298,10 @@
                     pass = true;
                 }
                 Change::Session(member) => {
-                    if state.mirror.sessions.contains_key(&member) {
-                        state.alive.entry(member).or_insert(now);
-                    } else {
-                        state.alive.remove(&member);
-                    }
+                    let there = state.mirror.sessions.contains_key(&member);
+                    state
+                        .roles
+                        .apply(roles::Input::Session(&member, there), now);
                     self.look_at_versions(&mut state);
                     roles = true;
                 }
--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -11,11 +11,11 @@
 //! the store then belongs to an ask sent before.
 
 use crate::{
-    authority::Session,
     controller::{Inner, State, std_time},
     store::{Urgency, Written, guard, put},
 };
 use jasperhill_http::Response;
+use jasperhill_members::authority::Session;
 use jasperhill_sched::HostInput;
 use jasperhill_wire::{
     HostId, Member, Micros, Revision, Token,
--- a/crates/jasperhill-control/src/lib.rs
+++ b/crates/jasperhill-control/src/lib.rs
@@ -2,7 +2,6 @@
 //! the mesh, the user API, dealings with workers and the cloud. Thin I/O around the state
 //! machines here and in `jasperhill-sched`.
 
-pub mod authority;
 pub mod budget;
 pub mod clock;
 mod cloud;
--- a/crates/jasperhill-control/src/mirror.rs
+++ b/crates/jasperhill-control/src/mirror.rs
@@ -1,6 +1,7 @@
 //! The mirror: a copy of the store, kept by a listing and a watch. Every change goes through
 //! [`Mirror::apply`].
 
+use jasperhill_members::Seat;
 use jasperhill_sched::chain::{self, Chain, Fate, Output, Standing, Terms};
 use jasperhill_wire::{
     HostId, JobId, Member, Revision,
@@ -201,6 +202,20 @@
         (session.value.lease == owner.lease).then_some(&owner.owner)
     }
 
+    /// What the store says of every role.
+    pub fn seats(&self) -> BTreeMap<Role, Seat> {
+        let seat = |(role, kept): (&Role, &Kept<RoleRecord>)| {
+            let seat = Seat {
+                owner: kept.value.owner.clone(),
+                lease: kept.value.lease,
+                version: kept.version,
+                live: self.owner(*role).is_some(),
+            };
+            (*role, seat)
+        };
+        self.roles.iter().map(seat).collect()
+    }
+
     /// The one function that changes the mirror.
     pub fn apply(&mut self, input: Input) -> Vec<Change> {
         let mut changes = Vec::new();
--- a/crates/jasperhill-control/src/roles.rs
+++ b/crates/jasperhill-control/src/roles.rs
@@ -5,103 +5,65 @@
     controller::{Inner, State},
     store::{Urgency, Written, guard, put},
 };
+use jasperhill_members::roles::{self, Facts, Step};
 use jasperhill_sched::{Partition, job::Gate};
 use jasperhill_wire::{
-    Micros, Revision,
+    Member, Micros, Revision,
     record::{Role, RoleRecord, role_key, session_key},
 };
 use std::{rc::Rc, time::Duration};
 use tokio::time::timeout;
 
-enum Step {
-    Take(Role),
-    HandBack(Role),
-}
-
 impl Inner {
     pub async fn roles_loop(self: Rc<Self>) {
         loop {
             let _ = timeout(Duration::from_millis(500), self.wake_roles.notified()).await;
-            let steps = self.look_at_roles();
-            for step in steps {
+            for step in self.look_at_roles() {
                 match step {
                     Step::Take(role) => self.clone().spawn(self.clone().take(role)),
-                    Step::HandBack(role) => self.clone().spawn(self.clone().hand_back(role)),
+                    Step::HandOver(role, to) => {
+                        self.clone().spawn(self.clone().hand_over(role, to));
+                    }
+                    Step::Hold(..) | Step::Release(_) => {}
                 }
             }
         }
     }
 
+    /// Begins and ends acting on what the store says; the rest of the steps take time.
     fn look_at_roles(&self) -> Vec<Step> {
         let now = self.now();
         let mut guarded = self.state.borrow_mut();
         let state = &mut *guarded;
-        let mut steps = Vec::new();
-        let me = &self.settings.member;
         let Some((lease, _)) = self.session_guard(state) else {
-            return steps;
+            return Vec::new();
         };
         if !state.mirror.is_synced() || state.specs.is_none() {
-            return steps;
+            return Vec::new();
         }
-        let roles = (0..self.settings.size)
-            .map(Role::Partition)
-            .chain([Role::Leader]);
-        for role in roles {
-            let kept = state.mirror.roles.get(&role).cloned();
-            let mine = kept
-                .as_ref()
-                .is_some_and(|k| &k.value.owner == me && k.value.lease == lease);
-            let version = kept.as_ref().map(|k| k.version);
-            if mine && state.relinquished.get(&role) != version.as_ref() {
-                state.orphaned.remove(&role);
+        let held = state.partitions.keys().map(|p| Role::Partition(*p));
+        let facts = Facts {
+            lease,
+            seats: state.mirror.seats(),
+            held: held
+                .chain(state.leader.iter().map(|_| Role::Leader))
+                .collect(),
+            may_take: state.authority.holds(now),
+        };
+        let steps = state.roles.apply(roles::Input::Look(&facts), now);
+        for step in &steps {
+            match step {
                 // Built only once the mirror holds everything up to the takeover.
-                if let Some(version) = version
-                    && state.mirror.revision >= version
-                {
-                    self.load(state, role, version, now);
+                Step::Hold(role, version) if state.mirror.revision >= *version => {
+                    self.load(state, *role, *version, now);
                 }
-                self.fair_share(state, role, now, &mut steps);
-                continue;
-            }
-            self.unload(state, role);
-            if !mine && state.mirror.owner(role).is_some() {
-                state.orphaned.remove(&role);
-                continue;
-            }
-            let since = *state.orphaned.entry(role).or_insert(now);
-            if now - since >= self.patience(role, kept.is_some(), state)
-                && state.authority.holds(now)
-                && state.taking.insert(role)
-            {
-                steps.push(Step::Take(role));
+                Step::Release(role) => self.unload(state, *role),
+                _ => {}
             }
         }
         steps
     }
 
-    /// How long an orphan is left to those who come before.
-    fn patience(&self, role: Role, was_owned: bool, state: &State) -> Micros {
-        let n = self.members.len();
-        let index = self
-            .members
-            .iter()
-            .position(|m| m == &self.settings.member)
-            .unwrap_or(0);
-        let home = match role {
-            Role::Partition(p) => p as usize % n,
-            Role::Leader => 0,
-        };
-        let mut rank = ((index + n - home) % n) as u64;
-        if was_owned {
-            // The least loaded survivor first.
-            rank += state.partitions.len() as u64;
-            Micros::from_millis(150 * rank)
-        } else {
-            Micros::from_secs(3 * rank)
-        }
-    }
-
     fn load(&self, state: &mut State, role: Role, version: Revision, now: Micros) {
         let Some(specs) = state.specs.clone() else {
             return;
@@ -177,23 +139,6 @@
         }
     }
 
-    /// A partition whose home controller is back goes home.
-    fn fair_share(&self, state: &mut State, role: Role, now: Micros, steps: &mut Vec<Step>) {
-        let Role::Partition(p) = role else { return };
-        let home = self.home(p);
-        let settled = state
-            .alive
-            .get(home)
-            .is_some_and(|t| now - *t > Micros::from_secs(4));
-        if home != &self.settings.member
-            && settled
-            && state.partitions.contains_key(&p)
-            && state.taking.insert(role)
-        {
-            steps.push(Step::HandBack(role));
-        }
-    }
-
     async fn take(self: Rc<Self>, role: Role) {
         let me = self.settings.member.clone();
         let prepared = {
@@ -236,35 +181,37 @@
                 self.barrier().await;
             }
         }
-        self.state.borrow_mut().taking.remove(&role);
+        self.settled(role);
         self.wake_roles.notify_one();
     }
 
     /// Stops acting first, then writes the new owner. If that fails or its fate is unknown,
     /// only a new takeover (at a new revision, which kills the late write) brings it back.
-    async fn hand_back(self: Rc<Self>, role: Role) {
-        let Role::Partition(p) = role else { return };
+    async fn hand_over(self: Rc<Self>, role: Role, to: Member) {
         let prepared = {
-            let mut state = self.state.borrow_mut();
-            let home = self.home(p).clone();
+            let mut guarded = self.state.borrow_mut();
+            let state = &mut *guarded;
             let version = state.mirror.roles.get(&role).map(|k| k.version);
-            let session = state.mirror.sessions.get(&home).cloned();
+            let session = state.mirror.sessions.get(&to).cloned();
+            let settled = match role {
+                Role::Partition(p) => state.partitions.get(&p).is_some_and(|part| {
+                    part.hosts.values().all(|h| !h.in_flight() && !h.in_doubt())
+                }),
+                Role::Leader => state.leader.is_some(),
+            };
             match (version, session) {
-                (Some(version), Some(session))
-                    if state.partitions.get(&p).is_some_and(|part| {
-                        part.hosts.values().all(|h| !h.in_flight() && !h.in_doubt())
-                    }) =>
-                {
-                    state.relinquished.insert(role, version);
-                    state.partitions.remove(&p);
-                    tracing::info!(partition = p, to = %home, "handing back");
+                (Some(version), Some(session)) if settled => {
+                    let given_up = roles::Input::GivenUp(role, version);
+                    state.roles.apply(given_up, self.now());
+                    tracing::info!(?role, %to, "handing over");
+                    self.unload(state, role);
                     let lease = session.value.lease;
                     Some((
                         vec![
                             guard(role_key(role), version),
-                            guard(session_key(&home), session.version),
+                            guard(session_key(&to), session.version),
                         ],
-                        put(role_key(role), &RoleRecord { owner: home, lease }),
+                        put(role_key(role), &RoleRecord { owner: to, lease }),
                     ))
                 }
                 _ => None,
@@ -278,6 +225,13 @@
                 self.barrier().await;
             }
         }
-        self.state.borrow_mut().taking.remove(&role);
+        self.settled(role);
+    }
+
+    /// What a step began is over.
+    fn settled(&self, role: Role) {
+        let now = self.now();
+        let over = roles::Input::Settled(role);
+        self.state.borrow_mut().roles.apply(over, now);
     }
 }
--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -2,12 +2,12 @@
 //! that feed the mirror, the read barrier, leases.
 
 use crate::{
-    authority::{self, Session},
     budget::Bucket,
     controller::{Inner, State, std_time},
     mirror::{self, Phase},
 };
 use jasperhill_http::{ClientError, Method, Request, Response};
+use jasperhill_members::authority::{self, Session};
 use jasperhill_wire::{
     Member, Micros, Revision,
     record::{
