--- a/crates/jasperhill-control/src/cloud/mod.rs
+++ b/crates/jasperhill-control/src/cloud/mod.rs
@@ -8,11 +8,12 @@
 mod stock;
 
 use crate::{
-    controller::Inner,
+    controller::{Inner, evidence_of},
     mirror::KeptHost,
     store::{Urgency, guard, put},
 };
 use jasperhill_http::{Method, Request, Response};
+use jasperhill_members::view::LinkId;
 use jasperhill_sched::{
     boots::{Boots, replaceable},
     config::{Specs, specs},
@@ -144,9 +145,11 @@
             }
         }
         let request = Request::new(method, target, body);
-        self.call(self.settings.cloud, request, Micros::from_secs(4))
-            .await
-            .ok()
+        let limit = Micros::from_secs(4);
+        let answer = self.call(self.settings.cloud, request, limit).await.ok();
+        // A 503 for want of machines is an answer too; one that says trouble is everybody's.
+        self.note_link(LinkId::Cloud, evidence_of(answer.is_some()));
+        answer
     }
 
     pub(super) async fn fetch_types(&self) -> bool {
--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -8,6 +8,7 @@
     counts::Learned,
     hostbook::HostBook,
     keep::{Granted, Keeping},
+    links::Passing,
     mirror::{self, ActiveJob, Change, JobEntry, Mirror},
     net::Transport,
     pulse::{self, Pulse},
@@ -17,9 +18,11 @@
 };
 use jasperhill_http::{Request, Response};
 use jasperhill_members::{
-    Roles,
+    Roles, View,
     authority::{self, Authority, Session},
+    link::Evidence,
     roles,
+    view::LinkId,
 };
 use jasperhill_sched::{
     Partition, SchedConfig,
@@ -83,6 +86,10 @@
     pub requests: Bucket,
     pub cloud: Bucket,
     pub roles: Roles,
+    pub view: View,
+    pub passing: Passing,
+    /// Workers that were told to come themselves, and when.
+    pub sent_home: BTreeMap<HostId, Micros>,
     pub saving: BTreeSet<JobId>,
     /// Jobs whose records are being cancelled because a job before them is.
     pub cancelling: BTreeSet<JobId>,
@@ -126,6 +133,7 @@
     pub wake_grant: Notify,
     pub wake_kept: Notify,
     pub wake_counts: Notify,
+    pub wake_links: Notify,
 }
 
 /// One controller. Dropping it ends all that it does.
@@ -163,6 +171,13 @@
             requests: Bucket::new(rps, rps, now),
             cloud: Bucket::new(settings.cloud_rps * 0.8, settings.cloud_rps, now),
             roles: Roles::new(settings.member.clone(), settings.members(), settings.size),
+            view: View::new(
+                settings.member.clone(),
+                settings.peers.iter().map(|p| p.member.clone()).collect(),
+                clock.wall(),
+            ),
+            passing: Passing::default(),
+            sent_home: BTreeMap::new(),
             saving: BTreeSet::new(),
             cancelling: BTreeSet::new(),
             partial_due: BTreeMap::new(),
@@ -195,6 +210,7 @@
             wake_grant: Notify::new(),
             wake_kept: Notify::new(),
             wake_counts: Notify::new(),
+            wake_links: Notify::new(),
         });
         inner.clone().spawn(inner.clone().mirror_loop());
         inner.clone().spawn(inner.clone().barrier_loop());
@@ -206,6 +222,7 @@
         inner.clone().spawn(inner.clone().outage_loop());
         inner.clone().spawn(inner.clone().keep_loop());
         inner.clone().spawn(inner.clone().grant_loop());
+        inner.clone().spawn(inner.clone().links_loop());
         Self(inner)
     }
 
@@ -579,6 +596,7 @@
             None => pulse::Input::Unanswered { sent },
         };
         self.state.borrow_mut().pulse.apply(heard, self.now());
+        self.note_link(LinkId::State, evidence_of(answer.is_some()));
         match answer {
             Some(true) => {
                 self.state
@@ -598,6 +616,15 @@
     }
 }
 
+/// One counterpart that answered or did not.
+pub(crate) fn evidence_of(answered: bool) -> Evidence {
+    if answered {
+        Evidence::Carried
+    } else {
+        Evidence::Failed { by: 0, of: 1 }
+    }
+}
+
 fn log_note(note: &Note) {
     match note {
         Note::HostLost(host) => tracing::info!(%host, "host lost: its lease has lapsed"),
--- a/crates/jasperhill-control/src/hostbook.rs
+++ b/crates/jasperhill-control/src/hostbook.rs
@@ -14,7 +14,7 @@
 };
 use jasperhill_wire::{
     HostId, Micros, Revision,
-    record::{HostBlock, HostRecord, Role, block_key, role_key},
+    record::{HostBlock, HostRecord, PIPELINES, Role, block_key, role_key},
     state::{Change, Guard},
 };
 use std::{
@@ -265,7 +265,7 @@
         let mut due = Vec::new();
         {
             let mut state = self.state.borrow_mut();
-            if !state.upgrade.is_complete() || state.leader.is_none() {
+            if !state.upgrade.understands(PIPELINES) || state.leader.is_none() {
                 return;
             }
             let now = self.now();
@@ -354,7 +354,7 @@
             edits = edits.len(),
             "host block"
         );
-        if bytes <= self.settings.value_bytes || !state.upgrade.is_complete() {
+        if bytes <= self.settings.value_bytes || !state.upgrade.understands(PIPELINES) {
             return Some(Prepared {
                 edits,
                 urgency,
--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -11,11 +11,11 @@
 //! the store then belongs to an ask sent before.
 
 use crate::{
-    controller::{Inner, State, std_time},
+    controller::{Inner, State, evidence_of, std_time},
     store::{Urgency, Written, guard, put},
 };
 use jasperhill_http::Response;
-use jasperhill_members::authority::Session;
+use jasperhill_members::{authority::Session, view::LinkId};
 use jasperhill_sched::HostInput;
 use jasperhill_wire::{
     HostId, Member, Micros, Revision, Token,
@@ -131,6 +131,7 @@
         let Some(peer) = self.settings.peers.iter().find(|p| p.address == to) else {
             return;
         };
+        self.note_link(LinkId::Peer(peer.member.clone()), evidence_of(answered));
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let unreached = &mut state.keeping.unreached;
@@ -141,6 +142,11 @@
         }
     }
 
+    /// That member has answered lately, or has not been asked.
+    pub fn reaches_peer(&self, member: &Member) -> bool {
+        !self.is_unreached(&self.state.borrow(), member, self.now())
+    }
+
     fn is_unreached(&self, state: &State, member: &Member, now: Micros) -> bool {
         let at = state.keeping.unreached.get(member);
         at.is_some_and(|t| now - *t < UNREACHED_FOR)
--- a/crates/jasperhill-control/src/lib.rs
+++ b/crates/jasperhill-control/src/lib.rs
@@ -9,6 +9,7 @@
 mod counts;
 mod hostbook;
 mod keep;
+mod links;
 mod mesh;
 pub mod mirror;
 pub mod net;
--- /dev/null
+++ b/crates/jasperhill-control/src/links.rs
@@ -0,0 +1,521 @@
+//! What this controller learns of its links, and the ways round a cut: it feeds
+//! [`jasperhill_members::View`], tells the others how it stands, passes reports on to owners that
+//! their workers don't reach, and orders to workers that their owners don't reach.
+//!
+//! Nothing here decides what may run: whoever passes something on adds nothing to it. A report's
+//! answer is the owner's, with its token and authority; an order passed on is in doubt for its
+//! owner exactly as one that it sent itself.
+
+use crate::controller::{Inner, State};
+use jasperhill_http::{ClientError, Method, Request, Response};
+use jasperhill_members::{
+    link::Evidence,
+    roles::Fit,
+    view::{self, LinkId, Output},
+};
+use jasperhill_wire::{
+    HostId, Member, Micros, Name, Revision,
+    mesh::{LinkReport, MeshAnswer, MeshRequest, Reach},
+    record::{LINKS, Role},
+};
+use std::{
+    cell::Cell,
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::{sleep, timeout};
+
+/// Links are looked at, and silence noticed, this often.
+const LOOK: Duration = Duration::from_millis(500);
+/// How often the others are told while all is well, and while something is not.
+const TELL_CALM: Micros = Micros::from_secs(2);
+const TELL: Micros = Micros::from_millis(900);
+/// Workers asked at a time when a zone's link is in question.
+const PROBES: usize = 3;
+const PROBE_LIMIT: Micros = Micros::from_secs(1);
+/// Orders of others passed on at a time, and reports; beyond, the sender is told so at once.
+const PUSHES_MAX: usize = 64;
+const RELAYS_MAX: usize = 400;
+/// A worker waits four seconds for an answer: within this an owner that is just changing is
+/// asked again.
+const RELAY_LIMIT: Micros = Micros::from_millis(3_200);
+const RELAY_EACH: Micros = Micros::from_millis(1_500);
+const RELAY_PAUSE: Duration = Duration::from_millis(300);
+const PUSH_LIMIT: Micros = Micros::from_millis(1_500);
+
+/// Counts of what is being passed on.
+#[derive(Default)]
+pub(crate) struct Passing {
+    pushes: Rc<Cell<usize>>,
+    relays: Rc<Cell<usize>>,
+}
+
+/// A place among those that are passed on. Given back when dropped, since whoever waits for an
+/// answer may go away in the midst of it.
+struct Turn(Rc<Cell<usize>>);
+
+impl Turn {
+    fn take(count: &Rc<Cell<usize>>, most: usize) -> Option<Self> {
+        let n = count.get();
+        (n < most).then(|| {
+            count.set(n + 1);
+            Self(count.clone())
+        })
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// How orders get to a worker.
+pub(crate) enum Way {
+    Straight,
+    Through(SocketAddr),
+    /// Not at all: they wait for the next report.
+    None,
+}
+
+/// Where a report goes that another controller owns.
+pub(crate) enum Course {
+    /// The worker is sent there.
+    Go(Member),
+    /// The report is passed on.
+    Pass,
+}
+
+fn number_of(host: &HostId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    host.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// How many hosts of a partition, or of all, are in each zone.
+fn by_zone(state: &State) -> BTreeMap<Role, BTreeMap<Name, u32>> {
+    let mut counts: BTreeMap<Role, BTreeMap<Name, u32>> = BTreeMap::new();
+    for kept in state.mirror.hosts.values() {
+        if let Some(p) = kept.value.partition() {
+            let zones = counts.entry(Role::Partition(p)).or_default();
+            *zones.entry(kept.value.zone.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+impl Inner {
+    /// Roles follow reach, and links are spoken of, only when every member understands that.
+    pub fn has_links(&self, state: &State) -> bool {
+        state.upgrade.understands(LINKS)
+    }
+
+    /// Something got through a link, or did not.
+    pub fn note_link(&self, link: LinkId, evidence: Evidence) {
+        self.feed_view(view::Input::Evidence(link, evidence));
+    }
+
+    /// A worker of a zone answered, or not, out of so many there.
+    pub fn note_worker(&self, zone: &Name, host: &HostId, of: usize, answered: bool) {
+        let evidence = if answered {
+            Evidence::Carried
+        } else {
+            let by = number_of(host);
+            Evidence::Failed { by, of }
+        };
+        self.note_link(LinkId::Orders(zone.clone()), evidence);
+    }
+
+    fn feed_view(&self, input: view::Input<'_>) -> Vec<Name> {
+        let now = self.now();
+        let outputs = self.state.borrow_mut().view.apply(input, now);
+        let mut probes = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Probe(zone) => probes.push(zone),
+                Output::Changed(link, was, reach) => {
+                    if was != Reach::Down && reach != Reach::Down {
+                        tracing::debug!(?link, ?reach, "link");
+                    } else {
+                        tracing::info!(?link, ?reach, "link");
+                        self.wake_links.notify_one();
+                        self.wake_roles.notify_one();
+                    }
+                }
+            }
+        }
+        probes
+    }
+
+    /// Looks at the links and tells the others of them.
+    pub async fn links_loop(self: Rc<Self>) {
+        let mut told = Micros::ZERO;
+        loop {
+            let woken = timeout(LOOK, self.wake_links.notified()).await.is_ok();
+            self.expect_reports();
+            let now = self.now();
+            let (speaks, calm) = {
+                let state = self.state.borrow();
+                (self.has_links(&state), state.view.is_calm())
+            };
+            let pause = if calm { TELL_CALM } else { TELL };
+            if speaks && (woken || now - told >= pause) {
+                told = now;
+                self.tell_links();
+            }
+            self.look_for_others();
+        }
+    }
+
+    /// Silence where reports are due, and questions where nothing else speaks.
+    fn expect_reports(self: &Rc<Self>) {
+        let due: BTreeMap<Name, u32> = {
+            let state = self.state.borrow();
+            let zones = self.settings.zones.iter().cloned();
+            let mut due: BTreeMap<Name, u32> = zones.map(|z| (z, 0)).collect();
+            for host in state.partitions.values().flat_map(|p| p.hosts.values()) {
+                if host.reach != jasperhill_sched::Reach::Lapsed {
+                    *due.entry(host.zone.clone()).or_default() += 1;
+                }
+            }
+            due
+        };
+        for (zone, hosts) in &due {
+            let report = self.settings.report;
+            let probes = self.feed_view(view::Input::Expect {
+                zone,
+                hosts: *hosts,
+                report,
+            });
+            for zone in probes {
+                self.probe_zone(&zone);
+            }
+        }
+    }
+
+    /// Asks a few workers of a zone, others each time.
+    fn probe_zone(self: &Rc<Self>, zone: &Name) {
+        let (asked, of) = {
+            let state = self.state.borrow();
+            let here: Vec<_> = state
+                .mirror
+                .hosts
+                .iter()
+                .filter(|(_, k)| &k.value.zone == zone)
+                .collect();
+            let of = here.len();
+            let from = (self.now().0 / 10_007) as usize;
+            let asked: Vec<(HostId, SocketAddr)> = (0..PROBES.min(of))
+                .filter_map(|i| {
+                    let (id, kept) = here[(from + i * (of / PROBES).max(1)) % of];
+                    Some((id.clone(), kept.value.address.parse().ok()?))
+                })
+                .collect();
+            (asked, of)
+        };
+        for (host, address) in asked {
+            let (inner, zone) = (self.clone(), zone.clone());
+            self.clone().spawn(async move {
+                let request = Request::new(Method::Get, "/inspect", Vec::new());
+                let answer = inner.call(address, request, PROBE_LIMIT).await;
+                inner.note_worker(&zone, &host, of, answer.is_ok());
+            });
+        }
+    }
+
+    fn own_report(&self, state: &mut State, now: Micros) -> LinkReport {
+        // What a mirror shows that is no longer brought up to date is not told as news.
+        let owners = if state.view.own(&LinkId::State) == Reach::Up {
+            let seats = state.mirror.seats();
+            let live = seats.into_iter().filter(|(_, s)| s.live);
+            live.map(|(role, s)| (role, s.owner, s.version)).collect()
+        } else {
+            Vec::new()
+        };
+        let me = &self.settings.member;
+        let let_go: Vec<(Role, Revision)> = state
+            .roles
+            .given_up()
+            .filter(|(role, version)| {
+                let kept = state.mirror.roles.get(role);
+                kept.is_some_and(|k| k.version == *version && &k.value.owner == me)
+            })
+            .collect();
+        state.view.report(owners, let_go, now)
+    }
+
+    /// Tells every other controller how the links stand; their answers say the same of theirs.
+    fn tell_links(self: &Rc<Self>) {
+        let now = self.now();
+        let report = {
+            let mut state = self.state.borrow_mut();
+            self.own_report(&mut state, now)
+        };
+        for peer in &self.settings.peers {
+            let (inner, to, report) = (self.clone(), peer.address, report.clone());
+            self.clone().spawn(async move {
+                let ask = MeshRequest::Links(Box::new(report));
+                let answer = inner.ask(to, ask, Micros::from_secs(1)).await;
+                if let Some(MeshAnswer::Links(theirs)) = answer {
+                    inner.feed_view(view::Input::Said(&theirs));
+                    inner.follow_links();
+                }
+            });
+        }
+    }
+
+    /// Another controller tells how its links stand.
+    pub fn hear_links(self: &Rc<Self>, theirs: &LinkReport) -> LinkReport {
+        self.feed_view(view::Input::Said(theirs));
+        self.follow_links();
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        self.own_report(&mut state, now)
+    }
+
+    /// What follows at once from what another has told.
+    fn follow_links(&self) {
+        let let_go = {
+            let now = self.now();
+            let state = self.state.borrow();
+            let mut seats = state.mirror.roles.iter();
+            seats.any(|(role, k)| state.view.let_go(&k.value.owner, *role, k.version, now))
+        };
+        if let_go {
+            self.wake_roles.notify_one();
+        }
+        self.look_for_others();
+    }
+
+    /// Whether users are better served elsewhere: the state service answers others, but not
+    /// this controller. In an outage that everybody sees, it stays.
+    fn look_for_others(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if self.has_links(&state) {
+            let down = state.view.own(&LinkId::State) == Reach::Down;
+            state.alone = down && state.view.other_served(now);
+        }
+    }
+
+    /// How fit each member is for each role, as far as is known here.
+    pub fn fits(
+        &self,
+        state: &State,
+        now: Micros,
+    ) -> (BTreeMap<(Role, Member), Fit>, BTreeMap<Role, u32>) {
+        let zones = by_zone(state);
+        let roles = (0..self.settings.size).map(Role::Partition);
+        let (mut fits, mut hosts) = (BTreeMap::new(), BTreeMap::new());
+        let none = BTreeMap::new();
+        for role in roles.chain([Role::Leader]) {
+            let here = zones.get(&role).unwrap_or(&none);
+            hosts.insert(role, here.values().sum());
+            for member in &self.members {
+                let mut fit = Fit {
+                    state: state.view.is_served(member, now),
+                    ..Fit::default()
+                };
+                for (zone, n) in here {
+                    let proved = state.view.is_proved(member, zone, now);
+                    match state.view.reaches(member, zone, now) {
+                        Reach::Up if member == &self.settings.member || proved => fit.reached += n,
+                        Reach::Down => fit.unreached += n,
+                        _ => {}
+                    }
+                }
+                if role == Role::Leader {
+                    fit.needs = if member == &self.settings.member {
+                        state.view.own(&LinkId::Cloud)
+                    } else {
+                        let said = state.view.said(member, now);
+                        said.map_or(Reach::Unknown, |r| r.cloud)
+                    };
+                }
+                let owns = state
+                    .mirror
+                    .roles
+                    .values()
+                    .filter(|k| &k.value.owner == member);
+                fit.load = owns.count() as u32;
+                fits.insert((role, member.clone()), fit);
+            }
+        }
+        (fits, hosts)
+    }
+
+    /// The owner of a role by the youngest that is known: the own mirror, or what others have
+    /// told while this controller can't hear of it itself.
+    pub fn owner_now(&self, state: &State, role: Role) -> Option<Member> {
+        let now = self.now();
+        let mine = state.mirror.roles.get(&role).map(|k| k.version);
+        match state.view.owner(role, now) {
+            Some((owner, version)) if self.has_links(state) && mine.is_none_or(|v| v < version) => {
+                Some(owner.clone())
+            }
+            _ => state.mirror.owner(role).cloned(),
+        }
+    }
+
+    /// Where a report from this zone goes whose owner is elsewhere. `None` without an opinion.
+    pub fn course(&self, owner: &Member, zone: &Name) -> Option<Course> {
+        let now = self.now();
+        let state = self.state.borrow();
+        if !self.has_links(&state) {
+            return None;
+        }
+        let view = &state.view;
+        if !view.hears(owner, now) {
+            let third = view.between(owner, zone, now)?;
+            return Some(Course::Go(third.clone()));
+        }
+        let (reports, _) = view.directions(owner, zone, now);
+        // Sent to its owner, the worker would lose ten seconds that its tasks may not have.
+        matches!(reports, Reach::Down | Reach::Doubtful).then_some(Course::Pass)
+    }
+
+    /// Passes a report on to its owner, and the owner's answer back.
+    pub async fn pass_on(
+        self: &Rc<Self>,
+        owner: Member,
+        host: &HostId,
+        body: &[u8],
+    ) -> Option<Response> {
+        let _turn = Turn::take(&self.state.borrow().passing.relays, RELAYS_MAX)?;
+        self.try_owners(owner, host, body).await
+    }
+
+    async fn try_owners(
+        self: &Rc<Self>,
+        owner: Member,
+        host: &HostId,
+        body: &[u8],
+    ) -> Option<Response> {
+        let by = self.now() + RELAY_LIMIT;
+        let mut to = owner;
+        loop {
+            let left = by - self.now();
+            if left <= Micros::from_millis(200) {
+                return None;
+            }
+            let address = self.address_of(&to)?;
+            let ask = MeshRequest::Relay(String::from_utf8_lossy(body).into_owned());
+            match self.ask(address, ask, left.min(RELAY_EACH)).await {
+                Some(MeshAnswer::Relayed { status: 200, body }) => {
+                    return Some(Response::new(200, body.into_bytes()));
+                }
+                Some(MeshAnswer::Relayed { status: 421, body }) => {
+                    match jasperhill_wire::worker::redirected_to(body.as_bytes()) {
+                        // It knows a younger owner.
+                        Some(other) if other != to && other != self.settings.member => {
+                            to = other;
+                            continue;
+                        }
+                        Some(_) => {}
+                        // It reaches the worker by now.
+                        None => {
+                            self.state.borrow_mut().redirected.remove(host);
+                            return Some(crate::workers::redirect(Some(&to)));
+                        }
+                    }
+                }
+                _ => {}
+            }
+            if !self.has_links(&self.state.borrow()) || !self.reaches_peer(&to) {
+                return None;
+            }
+            // The owner may just be changing.
+            sleep(RELAY_PAUSE).await;
+            let state = self.state.borrow();
+            let kept = state.mirror.hosts.get(host);
+            let role = kept
+                .and_then(|k| k.value.partition())
+                .map_or(Role::Leader, Role::Partition);
+            let next = self.owner_now(&state, role);
+            to = next.filter(|m| m != &self.settings.member)?;
+        }
+    }
+
+    /// How orders get to a worker of this zone.
+    pub fn way(&self, zone: &Name) -> Way {
+        let now = self.now();
+        let state = self.state.borrow();
+        if state.view.own(&LinkId::Orders(zone.clone())) != Reach::Down || !self.has_links(&state) {
+            return Way::Straight;
+        }
+        let peer = state.view.way_to(zone, now).cloned();
+        match peer.and_then(|m| self.address_of(&m)) {
+            Some(address) => Way::Through(address),
+            None => Way::None,
+        }
+    }
+
+    /// Sends a worker something on the way that there is. `of`: hosts there.
+    pub async fn reach_worker(
+        &self,
+        (host, zone, of): (&HostId, &Name, usize),
+        address: SocketAddr,
+        request: Request,
+        limit: Micros,
+    ) -> Result<Response, ClientError> {
+        match self.way(zone) {
+            Way::Straight => {
+                let answer = self.call(address, request, limit).await;
+                self.note_worker(zone, host, of, answer.is_ok());
+                answer
+            }
+            Way::Through(peer) => {
+                let body = match request.method {
+                    Method::Get => None,
+                    _ => Some(String::from_utf8_lossy(&request.body).into_owned()),
+                };
+                let host = host.clone();
+                match self
+                    .ask_fate(peer, MeshRequest::Push { host, body }, limit)
+                    .await
+                {
+                    Ok(MeshAnswer::Pushed { status, body }) => {
+                        Ok(Response::new(status, body.into_bytes()))
+                    }
+                    Ok(MeshAnswer::NotPushed) => Err(ClientError::NotSent),
+                    Ok(_) => Err(ClientError::NoAnswer),
+                    Err(error) => Err(error),
+                }
+            }
+            Way::None => Err(ClientError::NotSent),
+        }
+    }
+
+    /// Passes the orders of another controller on to a worker. They may be executed at any
+    /// time from now on: unless it says otherwise, the sender counts them as in doubt.
+    pub async fn push(&self, host: HostId, body: Option<String>) -> MeshAnswer {
+        let (turn, found) = {
+            let state = self.state.borrow();
+            let found = state.mirror.hosts.get(&host).and_then(|k| {
+                let address = k.value.address.parse::<SocketAddr>().ok()?;
+                Some((address, k.value.zone.clone()))
+            });
+            (Turn::take(&state.passing.pushes, PUSHES_MAX), found)
+        };
+        let (Some(_turn), Some((address, zone))) = (turn, found) else {
+            return MeshAnswer::NotPushed;
+        };
+        let request = match body {
+            Some(body) => Request::new(Method::Post, "/do", body.into_bytes()),
+            None => Request::new(Method::Get, "/inspect", Vec::new()),
+        };
+        let answer = self.call(address, request, PUSH_LIMIT).await;
+        self.note_worker(&zone, &host, PROBES, answer.is_ok());
+        match answer {
+            Ok(answer) => MeshAnswer::Pushed {
+                status: answer.status,
+                body: String::from_utf8(answer.body).unwrap_or_default(),
+            },
+            Err(ClientError::NotSent) => MeshAnswer::NotPushed,
+            Err(ClientError::NoAnswer) => MeshAnswer::Unavailable,
+        }
+    }
+}
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -1,7 +1,7 @@
 //! The mesh between controllers: CBOR over HTTP. One that can't be reached is no error.
 
 use crate::controller::Inner;
-use jasperhill_http::{Method, Request, Response};
+use jasperhill_http::{ClientError, Method, Request, Response};
 use jasperhill_wire::{
     Micros,
     mesh::{MeshAnswer, MeshRequest, decode, encode},
@@ -26,6 +26,10 @@
         let mut rounds = 0u32;
         loop {
             tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+            if self.has_links(&self.state.borrow()) {
+                // Told by the links.
+                continue;
+            }
             let stale = !self.is_served();
             let mut alone = stale && !self.settings.peers.is_empty();
             if stale {
@@ -49,17 +53,28 @@
     }
 
     pub async fn ask(&self, to: SocketAddr, ask: MeshRequest, limit: Micros) -> Option<MeshAnswer> {
-        let body = encode(ask).ok()?;
+        self.ask_fate(to, ask, limit).await.ok()
+    }
+
+    /// As `ask`; the error says whether the message can have been acted on.
+    pub async fn ask_fate(
+        &self,
+        to: SocketAddr,
+        ask: MeshRequest,
+        limit: Micros,
+    ) -> Result<MeshAnswer, ClientError> {
+        let body = encode(ask).map_err(|_| ClientError::NotSent)?;
         let request = Request::new(Method::Post, "/mesh", body);
         let answer = self.call(to, request, limit).await;
         self.note_reach(to, answer.is_ok());
-        let answer = answer.ok()?;
+        let answer = answer?;
         if answer.status != 200 {
-            return None;
+            return Err(ClientError::NotSent);
         }
-        decode(&answer.body)
-            .inspect_err(|error| tracing::warn!(%error, "a mesh answer that is not understood"))
-            .ok()
+        decode(&answer.body).map_err(|error| {
+            tracing::warn!(%error, "a mesh answer that is not understood");
+            ClientError::NoAnswer
+        })
     }
 
     pub async fn serve_mesh(self: Rc<Self>, request: Request) -> Response {
@@ -93,6 +108,8 @@
                 }
                 MeshAnswer::Noted
             }
+            Ok(MeshRequest::Links(theirs)) => MeshAnswer::Links(Box::new(self.hear_links(&theirs))),
+            Ok(MeshRequest::Push { host, body }) => self.push(host, body).await,
             Ok(MeshRequest::IsFresh) => MeshAnswer::Fresh(self.is_served()),
             Err(error) => {
                 tracing::warn!(%error, "a mesh message that is not understood");
--- a/crates/jasperhill-control/src/mirror.rs
+++ b/crates/jasperhill-control/src/mirror.rs
@@ -210,6 +210,7 @@
                 lease: kept.value.lease,
                 version: kept.version,
                 live: self.owner(*role).is_some(),
+                let_go: false,
             };
             (*role, seat)
         };
--- a/crates/jasperhill-control/src/roles.rs
+++ b/crates/jasperhill-control/src/roles.rs
@@ -9,7 +9,7 @@
 use jasperhill_sched::{Partition, job::Gate};
 use jasperhill_wire::{
     Member, Micros, Revision,
-    record::{Role, RoleRecord, role_key, session_key},
+    record::{PIPELINES, Role, RoleRecord, role_key, session_key},
 };
 use std::{rc::Rc, time::Duration};
 use tokio::time::timeout;
@@ -24,7 +24,7 @@
                     Step::HandOver(role, to) => {
                         self.clone().spawn(self.clone().hand_over(role, to));
                     }
-                    Step::Hold(..) | Step::Release(_) => {}
+                    Step::Hold(..) | Step::Release(_) | Step::LetGo(_) => {}
                 }
             }
         }
@@ -42,13 +42,22 @@
             return Vec::new();
         }
         let held = state.partitions.keys().map(|p| Role::Partition(*p));
+        let mut seats = state.mirror.seats();
+        for (role, seat) in &mut seats {
+            seat.let_go = state.view.let_go(&seat.owner, *role, seat.version, now);
+        }
+        let (fits, hosts) = self.fits(state, now);
         let facts = Facts {
             lease,
-            seats: state.mirror.seats(),
+            seats,
             held: held
                 .chain(state.leader.iter().map(|_| Role::Leader))
                 .collect(),
             may_take: state.authority.holds(now),
+            by_reach: self.has_links(state),
+            fits,
+            hosts,
+            damping: self.settings.lease,
         };
         let steps = state.roles.apply(roles::Input::Look(&facts), now);
         for step in &steps {
@@ -58,6 +67,16 @@
                     self.load(state, *role, *version, now);
                 }
                 Step::Release(role) => self.unload(state, *role),
+                // Stops first: the word that goes out next must be true.
+                Step::LetGo(role) => {
+                    if let Some(kept) = state.mirror.roles.get(role) {
+                        tracing::info!(?role, "let go: the state service answers others");
+                        let given_up = roles::Input::GivenUp(*role, kept.version);
+                        state.roles.apply(given_up, now);
+                        self.unload(state, *role);
+                        self.wake_links.notify_one();
+                    }
+                }
                 _ => {}
             }
         }
@@ -94,7 +113,9 @@
                         // A job that waits for others now was never started by a controller
                         // that knows of that.
                         let created = match place.gate {
-                            Gate::Waiting if state.upgrade.is_complete() => Revision(u64::MAX),
+                            Gate::Waiting if state.upgrade.understands(PIPELINES) => {
+                                Revision(u64::MAX)
+                            }
                             _ => Revision(0),
                         };
                         part.upsert_job(&job.request, created, submitted, &job.finished, trust);
@@ -148,7 +169,13 @@
                 match state.mirror.roles.get(&role) {
                     Some(kept) => {
                         guards.push(guard(role_key(role), kept.version));
-                        if kept.value.owner != me {
+                        let by_word = self.has_links(&state)
+                            && state
+                                .view
+                                .let_go(&kept.value.owner, role, kept.version, self.now());
+                        // By its owner's word, it has stopped at this version for good: the
+                        // guard on that is enough.
+                        if kept.value.owner != me && !by_word {
                             // Its holder has stopped: the key goes no earlier than the lease.
                             let old = state.mirror.sessions.get(&kept.value.owner);
                             // A newer session of the old owner does not own this any more.
--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -7,7 +7,11 @@
     mirror::{self, Phase},
 };
 use jasperhill_http::{ClientError, Method, Request, Response};
-use jasperhill_members::authority::{self, Session};
+use jasperhill_members::{
+    authority::{self, Session},
+    link::Evidence,
+    view::LinkId,
+};
 use jasperhill_wire::{
     Member, Micros, Revision,
     record::{
@@ -519,6 +523,7 @@
                     events: news.events,
                 });
                 self.fresh(sent);
+                self.note_link(LinkId::State, Evidence::Carried);
                 true
             }
             410 => self.list_all().await,
@@ -531,7 +536,8 @@
         let (reply, done) = oneshot::channel();
         {
             let mut state = self.state.borrow_mut();
-            if !state.mirror.is_synced() || state.barrier.len() > 5_000 {
+            // Where others are answered and this controller is not, nobody is kept waiting.
+            if !state.mirror.is_synced() || state.barrier.len() > 5_000 || state.alone {
                 return false;
             }
             state.barrier.push(reply);
--- a/crates/jasperhill-control/src/upgrade.rs
+++ b/crates/jasperhill-control/src/upgrade.rs
@@ -3,7 +3,7 @@
 
 use jasperhill_wire::{
     Member,
-    record::{FORMAT, FormatRecord, SessionRecord},
+    record::{FormatRecord, SessionRecord},
 };
 use std::collections::BTreeMap;
 
@@ -15,10 +15,8 @@
     /// The mirror is not whole: nothing can be said.
     #[default]
     Unknown,
-    /// Some member is of an earlier version, or may be.
-    Mixed,
-    /// Every member's session, or its last one, was of this version.
-    Complete,
+    /// Every member's session, or its last one, understood this format; some no more than it.
+    Least(u32),
 }
 
 /// What the store says of the members.
@@ -37,20 +35,19 @@
         let understands = |m: &Member| {
             let session = seen.sessions.get(m).map(|k| k.value.format);
             let last = || seen.formats.get(m).map(|k| k.value.format);
-            session.or_else(last).unwrap_or(0) >= FORMAT
+            session.or_else(last).unwrap_or(0)
         };
-        let to = if !seen.synced {
-            Self::Unknown
-        } else if seen.members.iter().all(understands) {
-            Self::Complete
+        let to = if seen.synced {
+            Self::Least(seen.members.iter().map(understands).min().unwrap_or(0))
         } else {
-            Self::Mixed
+            Self::Unknown
         };
         std::mem::replace(self, to) != to
     }
 
-    pub fn is_complete(self) -> bool {
-        self == Self::Complete
+    /// Every member is known to understand what came with this format.
+    pub fn understands(self, format: u32) -> bool {
+        matches!(self, Self::Least(least) if least >= format)
     }
 }
 
@@ -84,17 +81,17 @@
         };
         assert_eq!(look(&sessions, &formats, false), Upgrade::Unknown);
         sessions.insert("a".into(), session(1));
-        assert_eq!(look(&sessions, &formats, true), Upgrade::Mixed);
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Least(0));
         sessions.insert("b".into(), session(0));
-        assert_eq!(look(&sessions, &formats, true), Upgrade::Mixed);
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Least(0));
         sessions.insert("b".into(), session(1));
-        assert_eq!(look(&sessions, &formats, true), Upgrade::Complete);
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Least(1));
         // Its session ends: what it last was counts, if it said so.
         sessions.remove(&Member::new("b"));
-        assert_eq!(look(&sessions, &formats, true), Upgrade::Mixed);
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Least(0));
         formats.insert("b".into(), kept(FormatRecord { format: 1 }));
-        assert_eq!(look(&sessions, &formats, true), Upgrade::Complete);
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Least(1));
         sessions.insert("b".into(), session(0));
-        assert_eq!(look(&sessions, &formats, true), Upgrade::Mixed);
+        assert_eq!(look(&sessions, &formats, true), Upgrade::Least(0));
     }
 }
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -10,7 +10,7 @@
 use jasperhill_wire::{
     JobId, Member, Micros, Revision,
     mesh::{Counts, MeshAnswer, MeshRequest},
-    record::{JobRecord, RecordPhase, Role, job_key, role_key},
+    record::{JobRecord, PIPELINES, RecordPhase, Role, job_key, role_key},
     user::{ErrorBody, JobAnswer, JobPhase, JobRequest, JobStatus, Shape},
 };
 use std::rc::Rc;
@@ -231,7 +231,7 @@
     /// Whether the jobs that this one needs were ever accepted and are none that never end.
     /// `None`: they are; what is done already is dropped from the list.
     async fn check_needs(self: &Rc<Self>, request: &mut JobRequest) -> Option<Response> {
-        if !self.state.borrow().upgrade.is_complete() {
+        if !self.state.borrow().upgrade.understands(PIPELINES) {
             // An earlier version would start the job at once.
             return Some(later("an earlier version still serves"));
         }
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -4,14 +4,15 @@
 use crate::{
     controller::Inner,
     hostbook::Edit,
+    links::{Course, Way},
     mirror::JobEntry,
     store::{Urgency, Written, guard, put},
 };
 use jasperhill_http::{ClientError, Method, Request, Response};
+use jasperhill_members::{link::Evidence, view::LinkId};
 use jasperhill_sched::{HostInput, Partition, Reach, Source};
 use jasperhill_wire::{
-    HostId, JobId, Member, Micros, Revision,
-    mesh::{MeshAnswer, MeshRequest},
+    HostId, JobId, Member, Micros, Revision, mesh,
     record::{HostRecord, HostUse, JobRecord, RecordPhase, Role, job_key, role_key},
     user::JobRequest,
     worker::{Order, Report, orders_body, redirect_body},
@@ -22,7 +23,7 @@
     Response::new(503, b"{\"error\":\"not entitled to answer\"}".to_vec()).retry_after(1)
 }
 
-fn redirect(to: Option<&Member>) -> Response {
+pub(crate) fn redirect(to: Option<&Member>) -> Response {
     Response::new(421, redirect_body(to))
 }
 
@@ -44,6 +45,14 @@
 const NEWCOMERS_MAX: usize = 500;
 const NEWCOMERS_WAIT: std::time::Duration = std::time::Duration::from_millis(100);
 
+fn parse(body: &[u8]) -> Result<Report, Response> {
+    Report::parse(body).map_err(|error| {
+        tracing::warn!(%error, "a report that is not understood");
+        let text = serde_json::Value::from(error.to_string());
+        Response::new(400, format!("{{\"error\":{text}}}").into_bytes())
+    })
+}
+
 /// What a worker is told, and whom it was sent to.
 struct Told {
     response: Response,
@@ -53,26 +62,42 @@
 impl Inner {
     /// A worker's report. Only the owner of its partition answers 200, and only with
     /// authority. A worker that was sent to its owner and comes back can't reach it: its
-    /// reports are then passed on, and the owner's answers back.
+    /// reports are then passed on, and the owner's answers back; at once where the owner is
+    /// known not to hear its zone.
     pub async fn hello(self: &Rc<Self>, body: &[u8]) -> Response {
-        let (mine, host) = match self.report(body) {
+        let report = match parse(body) {
+            Ok(report) => report,
+            Err(refusal) => return refusal,
+        };
+        let zone = LinkId::Reports(report.zone.clone());
+        self.note_link(zone, Evidence::Carried);
+        let mine = match self.report(&report) {
             Ok(found) => found,
             Err(refusal) => return refusal,
         };
+        let host = report.host.clone();
         let Some(owner) = mine.owner else {
             return mine.response;
         };
         let now = self.now();
         // A cut between two zones that outlasts the lease: sent to its owner, the worker would
         // only lose time that its tasks do not have.
-        let report = Report::parse(body).ok();
-        if let Some(report) = &report
-            && self.is_cut_off(report.zone.as_str(), &owner)
-        {
-            return match self.keep(report).await {
-                Some(answer) => answer,
-                None => mine.response,
-            };
+        if self.is_cut_off(report.zone.as_str(), &owner) {
+            return self.keep(&report).await.unwrap_or(mine.response);
+        }
+        match self.course(&owner, &report.zone) {
+            Some(Course::Go(third)) => return redirect(Some(&third)),
+            Some(Course::Pass) => {
+                if let Some(passed) = self.pass_on(owner.clone(), &host, body).await {
+                    return passed;
+                }
+                // Guards against a worker that is sent round while the cut is just being found.
+                if self.is_cut_off(report.zone.as_str(), &owner) {
+                    return self.keep(&report).await.unwrap_or_else(unavailable);
+                }
+                return unavailable();
+            }
+            None => {}
         }
         let came_back = {
             let mut state = self.state.borrow_mut();
@@ -85,36 +110,54 @@
         if !came_back {
             return mine.response;
         }
-        let Some(address) = self.address_of(&owner) else {
-            return mine.response;
-        };
-        let ask = MeshRequest::Relay(String::from_utf8_lossy(body).into_owned());
-        match self.ask(address, ask, Micros::from_millis(2_500)).await {
-            Some(MeshAnswer::Relayed { status: 200, body }) => {
-                Response::new(200, body.into_bytes())
-            }
-            Some(MeshAnswer::Relayed { status: 421, .. }) => {
-                self.state.borrow_mut().redirected.remove(&host);
-                redirect(Some(&owner))
-            }
-            _ => unavailable(),
-        }
+        let passed = self.pass_on(owner, &host, body).await;
+        passed.unwrap_or_else(unavailable)
     }
 
     /// A report that another controller passed on. Once the worker can be reached from here
     /// it is told to come itself.
     pub fn relayed(self: &Rc<Self>, body: &[u8]) -> Response {
-        let (mine, host) = match self.report(body) {
+        let report = match parse(body) {
+            Ok(report) => report,
+            Err(refusal) => return refusal,
+        };
+        let mine = match self.report(&report) {
             Ok(found) => found,
             Err(refusal) => return refusal,
         };
-        if mine.owner.is_some() || mine.response.status != 200 {
+        let host = report.host;
+        if mine.owner.is_some() {
+            // A 421 that names who it is: whoever passes reports on may know less.
+            return mine.response;
+        }
+        if mine.response.status != 200 {
             return unavailable();
         }
         let now = self.now();
-        let probe = self.state.borrow().probes.get(&host).copied();
+        let (probe, sent_home, cut) = {
+            let state = self.state.borrow();
+            let kept = state.mirror.hosts.get(&host);
+            let zone = kept.map(|k| LinkId::Orders(k.value.zone.clone()));
+            let cut = zone.is_some_and(|z| state.view.own(&z) == mesh::Reach::Down);
+            let sent = state.sent_home.get(&host).copied();
+            (state.probes.get(&host).copied(), sent, cut)
+        };
+        // Asking each of them would take as many requests as there are workers: the link is
+        // asked about as a whole until it is up. And guards against a link that carries orders
+        // but no reports: a worker that comes back all the same is not sent home again.
+        if cut || sent_home.is_some_and(|t| now - t < self.settings.lease) {
+            return mine.response;
+        }
         match probe {
-            Some((at, true)) if now - at < Micros::from_secs(5) => return redirect(None),
+            Some((at, true)) if now - at < Micros::from_secs(5) => {
+                let mut state = self.state.borrow_mut();
+                let lease = self.settings.lease;
+                if state.sent_home.len() > 1_000 {
+                    state.sent_home.retain(|_, t| now - *t < lease);
+                }
+                state.sent_home.insert(host, now);
+                return redirect(None);
+            }
             Some((at, _)) if now - at < Micros::from_secs(4) => {}
             _ => self.clone().spawn(self.clone().probe(host)),
         }
@@ -144,21 +187,7 @@
         }
     }
 
-    fn report(self: &Rc<Self>, body: &[u8]) -> Result<(Told, HostId), Response> {
-        let report = match Report::parse(body) {
-            Ok(report) => report,
-            Err(error) => {
-                tracing::warn!(%error, "a report that is not understood");
-                return Err(Response::new(
-                    400,
-                    format!(
-                        "{{\"error\":{}}}",
-                        serde_json::Value::from(error.to_string())
-                    )
-                    .into_bytes(),
-                ));
-            }
-        };
+    fn report(self: &Rc<Self>, report: &Report) -> Result<Told, Response> {
         let now = self.now();
         let host = report.host.clone();
         let mut guarded = self.state.borrow_mut();
@@ -166,24 +195,32 @@
         let Some(kept) = state.mirror.hosts.get(&host) else {
             if state.leader.is_some() && state.authority.holds(now) {
                 drop(guarded);
-                self.clone().spawn(self.clone().adopt(report));
+                self.clone().spawn(self.clone().adopt(report.clone()));
                 return Err(unavailable());
             }
-            return Err(self.redirect_to(state.mirror.owner(Role::Leader)).response);
+            let leader = self.owner_now(state, Role::Leader);
+            return Ok(self.redirect_to(leader));
         };
         let Some(p) = kept.value.partition() else {
-            return Err(redirect(None));
+            // What it became since a stale mirror last heard of it, the leader knows.
+            let stale = state.view.own(&LinkId::State) == mesh::Reach::Down;
+            let leader = self.owner_now(state, Role::Leader).filter(|_| stale);
+            return match self.redirect_to(leader) {
+                told @ Told { owner: Some(_), .. } => Ok(told),
+                _ => Err(redirect(None)),
+            };
         };
+        if !state.partitions.contains_key(&p) {
+            let owner = self.owner_now(state, Role::Partition(p));
+            return Ok(self.redirect_to(owner));
+        }
         let Some(partition) = state.partitions.get_mut(&p) else {
-            return Ok((
-                self.redirect_to(state.mirror.owner(Role::Partition(p))),
-                host,
-            ));
+            return Err(unavailable());
         };
         if !state.authority.holds(now) {
             return Err(unavailable());
         }
-        partition.on_report(&report, Source::Hello, now);
+        partition.on_report(report, Source::Hello, now);
         let orders = partition.orders(&host);
         let Some(token) = partition.hosts.get(&host).map(|h| h.token) else {
             return Err(unavailable());
@@ -197,20 +234,17 @@
             self.wake_pass.notify_one();
         }
         let response = Response::new(200, orders_body(token, None, &orders));
-        Ok((
-            Told {
-                response,
-                owner: None,
-            },
-            host,
-        ))
+        Ok(Told {
+            response,
+            owner: None,
+        })
     }
 
-    fn redirect_to(&self, owner: Option<&Member>) -> Told {
+    fn redirect_to(&self, owner: Option<Member>) -> Told {
         match owner {
-            Some(owner) if owner != &self.settings.member => Told {
-                response: redirect(Some(owner)),
-                owner: Some(owner.clone()),
+            Some(owner) if owner != self.settings.member => Told {
+                response: redirect(Some(&owner)),
+                owner: Some(owner),
             },
             _ => Told {
                 response: unavailable(),
@@ -298,7 +332,7 @@
 
     /// Sends what is outstanding straight to the worker, one request at a time per host.
     pub async fn direct(self: Rc<Self>, p: u32, id: HostId) {
-        let Some((address, since, tenure)) = ({
+        let Some((address, since, tenure, zone, of)) = ({
             let state = self.state.borrow();
             state.partitions.get(&p).and_then(|part| {
                 let host = part.hosts.get(&id)?;
@@ -309,15 +343,23 @@
                     host.address.parse::<SocketAddr>().ok()?,
                     part.since,
                     host.tenure,
+                    host.zone.clone(),
+                    part.hosts.len(),
                 ))
             })
         }) else {
             return;
         };
+        // Guards against orders in doubt for every host beyond a cut: each would have to have its
+        // token raised by a write before it could be used again.
+        if matches!(self.way(&zone), Way::None) {
+            return;
+        }
         let limit = Micros::from_secs(3);
+        let there = (&id, &zone, of);
         if tenure.is_none() {
             let request = Request::new(Method::Get, "/inspect", Vec::new());
-            match self.call(address, request, limit).await {
+            match self.reach_worker(there, address, request, limit).await {
                 Ok(answer) if answer.status == 200 => self.feed(p, since, &id, &answer.body),
                 _ => return,
             }
@@ -326,7 +368,7 @@
             return;
         };
         let request = Request::new(Method::Post, "/do", body);
-        let answer = self.call(address, request, limit).await;
+        let answer = self.reach_worker(there, address, request, limit).await;
         let now = self.now();
         if let Some(partition) = self.state.borrow_mut().partitions.get_mut(&p)
             && partition.since == since
--- a/crates/jasperhill-members/src/lib.rs
+++ b/crates/jasperhill-members/src/lib.rs
@@ -1,8 +1,11 @@
-//! Membership, without a clock and without I/O: a controller's authority, and who should hold
-//! which role. The time is passed in; what follows from a decision is done by the controller.
+//! Membership, without a clock and without I/O: a controller's authority, what it knows of the
+//! links, and who should hold which role. The time is passed in; what follows from a decision is done by the controller.
 
 pub mod authority;
+pub mod link;
 pub mod roles;
+pub mod view;
 
 pub use authority::{Authority, Session};
 pub use roles::{Roles, Seat, Step};
+pub use view::{LinkId, View};
--- a/crates/jasperhill-members/src/roles.rs
+++ b/crates/jasperhill-members/src/roles.rs
@@ -1,13 +1,26 @@
 //! Who should hold which role: orphans that are to be taken, and roles that are to be handed to
 //! somebody else. Owns what this controller has given up and what it is about to take. Every
 //! change goes through [`Roles::apply`].
+//!
+//! Roles follow reach: first whether the state service answers, then how many of the role's hosts
+//! are reached directly, then home, then load. What is not known speaks neither for a member nor
+//! against the one who holds the role. None of this is a matter of safety: the store's guarded
+//! writes decide, and a role taken by its owner's word is safe because the owner has stopped
+//! acting at that revision for good before it says so.
 
-use jasperhill_wire::{Member, Micros, Revision, record::Role};
+use jasperhill_wire::{Member, Micros, Revision, mesh::Reach, record::Role};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An owner's home goes home only after it has been back for so long.
 const SETTLED: Micros = Micros::from_secs(4);
 
+/// Somebody else must be better off for so long before a role moves.
+const BETTER_FOR: Micros = Micros::from_millis(2_000);
+/// Without the state service for so long, a role is let go if somebody else is answered.
+const UNSERVED_FOR: Micros = Micros::from_millis(2_000);
+/// An orphan is left for so long to those who reach more of its hosts.
+const WORSE_OFF: Micros = Micros::from_millis(600);
+
 /// What the store says of a role.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seat {
@@ -17,6 +30,33 @@
     pub version: Revision,
     /// That session is there.
     pub live: bool,
+    /// Its owner says that it has stopped acting at this version.
+    pub let_go: bool,
+}
+
+/// How well a member could act on a role, as far as is known here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Fit {
+    /// The state service answers it.
+    pub state: Reach,
+    /// What the role needs beyond hosts: the cloud, for the leader.
+    pub needs: Reach,
+    /// How many of the role's hosts it reaches, and surely does not reach.
+    pub reached: u32,
+    pub unreached: u32,
+    /// The roles that it holds.
+    pub load: u32,
+}
+
+impl Fit {
+    /// Whether a role held by `self` is better off with `other`.
+    fn is_worse_than(&self, other: &Fit, of: u32) -> bool {
+        let margin = (of / 10).max(1);
+        other.state == Reach::Up
+            && ((other.reached > (of - self.unreached.min(of)) + margin
+                && other.needs != Reach::Down)
+                || (self.needs == Reach::Down && other.needs == Reach::Up))
+    }
 }
 
 /// What this controller sees when it looks around.
@@ -29,6 +69,23 @@
     pub held: BTreeSet<Role>,
     /// It has authority, so it may take what is free.
     pub may_take: bool,
+    /// Every member understands roles that follow reach.
+    pub by_reach: bool,
+    /// How fit the members are for the roles, and how many hosts each role has.
+    pub fits: BTreeMap<(Role, Member), Fit>,
+    pub hosts: BTreeMap<Role, u32>,
+    /// No role moves twice within this time for the sake of reach.
+    pub damping: Micros,
+}
+
+impl Facts {
+    fn fit(&self, role: Role, member: &Member) -> Fit {
+        let key = (role, member.clone());
+        self.fits.get(&key).copied().unwrap_or_default()
+    }
+    fn of(&self, role: Role) -> u32 {
+        self.hosts.get(&role).copied().unwrap_or(0)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -54,6 +111,8 @@
     Take(Role),
     /// Stop acting, then write this owner.
     HandOver(Role, Member),
+    /// Stop acting, then say so: this controller can't write, and somebody else can.
+    LetGo(Role),
 }
 
 #[derive(Clone, Debug)]
@@ -69,6 +128,14 @@
     orphaned: BTreeMap<Role, Micros>,
     /// Since when a member has had a session.
     alive: BTreeMap<Member, Micros>,
+    /// Who owned a role when it was last looked at, and when it last went from one live owner to
+    /// another.
+    seen: BTreeMap<Role, (Member, u64)>,
+    moved: BTreeMap<Role, Micros>,
+    /// Since when somebody else is better off with a role of this controller, and who.
+    wished: BTreeMap<Role, (Member, Micros)>,
+    /// Since when the state service has not answered this controller but somebody else.
+    unserved: Option<Micros>,
 }
 
 impl Roles {
@@ -82,9 +149,20 @@
             moving: BTreeSet::new(),
             orphaned: BTreeMap::new(),
             alive: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            moved: BTreeMap::new(),
+            wished: BTreeMap::new(),
+            unserved: None,
         }
     }
 
+    /// The roles that this controller has stopped acting on, at which revisions.
+    pub fn given_up(&self) -> impl Iterator<Item = (Role, Revision)> + '_ {
+        self.given_up
+            .iter()
+            .map(|(role, version)| (*role, *version))
+    }
+
     /// The controller that a role falls to by default.
     pub fn home(&self, role: Role) -> &Member {
         let n = match role {
@@ -120,6 +198,8 @@
             .map(Role::Partition)
             .chain([Role::Leader])
             .collect::<Vec<_>>();
+        self.note_moves(facts, now);
+        let lets_go = self.lets_go(facts, now);
         for role in roles {
             let seat = facts.seats.get(&role);
             let mine = seat.is_some_and(|s| s.owner == self.me && s.lease == facts.lease);
@@ -127,15 +207,21 @@
             if mine && self.given_up.get(&role) != version.as_ref() {
                 self.orphaned.remove(&role);
                 steps.extend(version.map(|v| Step::Hold(role, v)));
-                if let Some(to) = self.better(role, facts, now)
+                if !facts.held.contains(&role) {
+                    continue;
+                }
+                if lets_go {
+                    steps.push(Step::LetGo(role));
+                } else if let Some(to) = self.better(role, facts, now)
                     && self.moving.insert(role)
                 {
                     steps.push(Step::HandOver(role, to));
                 }
                 continue;
             }
+            self.wished.remove(&role);
             steps.push(Step::Release(role));
-            if !mine && seat.is_some_and(|s| s.live) {
+            if !mine && seat.is_some_and(|s| s.live && !s.let_go) {
                 self.orphaned.remove(&role);
                 continue;
             }
@@ -150,28 +236,101 @@
         steps
     }
 
+    /// Notes when a role goes from one owner to another whose session goes on.
+    fn note_moves(&mut self, facts: &Facts, now: Micros) {
+        for (role, seat) in &facts.seats {
+            let (owner, lease) = (&seat.owner, seat.lease);
+            let last = self.seen.insert(*role, (owner.clone(), lease));
+            let from = last.filter(|(from, _)| from != owner);
+            if from.is_some_and(|(from, _)| self.alive.contains_key(&from)) {
+                self.moved.insert(*role, now);
+            }
+        }
+    }
+
+    /// This controller can't write and somebody else with a session can, for a while already.
+    fn lets_go(&mut self, facts: &Facts, now: Micros) -> bool {
+        let served = |m: &Member| facts.fit(Role::Leader, m).state;
+        let others = || self.members.iter().filter(|m| **m != self.me);
+        let unserved = facts.by_reach
+            && served(&self.me) == Reach::Down
+            && others().any(|m| self.alive.contains_key(m) && served(m) == Reach::Up);
+        if !unserved {
+            self.unserved = None;
+            return false;
+        }
+        now - *self.unserved.get_or_insert(now) >= UNSERVED_FOR
+    }
+
     /// How long an orphan is left to those who come before.
     fn patience(&self, role: Role, was_owned: bool, facts: &Facts) -> Micros {
         let n = self.members.len();
         let place = |m: &Member| self.members.iter().position(|x| x == m).unwrap_or(0);
         let mut rank = ((place(&self.me) + n - place(self.home(role))) % n) as u64;
         if was_owned {
-            // The least loaded survivor first.
+            // The least loaded survivor first, after those who reach more.
             let partition = |r: &&Role| matches!(r, Role::Partition(_));
             rank += facts.held.iter().filter(partition).count() as u64;
-            Micros::from_millis(150 * rank)
+            let wait = Micros::from_millis(150 * rank);
+            if self.fitter(role, facts).is_some() {
+                wait + WORSE_OFF
+            } else {
+                wait
+            }
         } else {
             Micros::from_secs(3 * rank)
         }
     }
 
-    /// Who should hold a role instead of this controller: a partition whose home is back goes
-    /// home.
-    fn better(&self, role: Role, facts: &Facts, now: Micros) -> Option<Member> {
+    /// The member with a session that is best off with a role, if this controller is worse off.
+    fn fitter(&self, role: Role, facts: &Facts) -> Option<Member> {
+        let mine = facts.fit(role, &self.me);
+        let of = facts.of(role);
+        let fitter = |m: &&Member| {
+            facts.by_reach
+                && **m != self.me
+                && self.alive.contains_key(*m)
+                && mine.is_worse_than(&facts.fit(role, m), of)
+        };
+        let home = self.home(role);
+        self.members
+            .iter()
+            .filter(fitter)
+            .max_by_key(|m| {
+                let fit = facts.fit(role, m);
+                (fit.reached, *m == home, std::cmp::Reverse(fit.load))
+            })
+            .cloned()
+    }
+
+    /// Who should hold a role instead of this controller: whoever reaches clearly more, or for a
+    /// partition its home once that is back and no worse off.
+    fn better(&mut self, role: Role, facts: &Facts, now: Micros) -> Option<Member> {
+        let moved = self.moved.get(&role);
+        let damped = facts.by_reach && moved.is_some_and(|t| now - *t < facts.damping);
+        if let Some(to) = self.fitter(role, facts) {
+            let (who, since) = self.wished.entry(role).or_insert((to.clone(), now));
+            if *who != to {
+                (*who, *since) = (to.clone(), now);
+            }
+            // Guards against roles that go back and forth with a link that flaps.
+            let due = now - *since >= BETTER_FOR && !damped;
+            return due.then_some(to);
+        }
+        self.wished.remove(&role);
         let home = self.home(role);
         let settled = self.alive.get(home).is_some_and(|t| now - *t > SETTLED);
         let partition = matches!(role, Role::Partition(_));
-        (partition && home != &self.me && settled && facts.held.contains(&role))
-            .then(|| home.clone())
+        if !partition || home == &self.me || !settled || damped {
+            return None;
+        }
+        let (here, there) = (facts.fit(role, &self.me), facts.fit(role, home));
+        let worse = there.state == Reach::Down
+            || there.unreached > here.unreached + (facts.of(role) / 10).max(1);
+        // Guards against a role that goes home to one who is worse off.
+        (!facts.by_reach || !worse).then(|| home.clone())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/jasperhill-members/src/roles/tests.rs
@@ -0,0 +1,180 @@
+use super::*;
+
+const AT: Micros = Micros::from_secs(1_000);
+const P: Role = Role::Partition(0);
+
+fn member(n: usize) -> Member {
+    Member::new(&format!("m{n}"))
+}
+
+/// Three members with sessions; `m0` is looking and owns partition 0 of a hundred hosts.
+fn begin() -> (Roles, Facts) {
+    let members: Vec<Member> = (0..3).map(member).collect();
+    let mut roles = Roles::new(member(0), members.clone(), 1);
+    let mut facts = Facts {
+        lease: 7,
+        held: [P].into(),
+        may_take: true,
+        by_reach: true,
+        hosts: [(P, 100)].into(),
+        damping: Micros::from_secs(30),
+        ..Facts::default()
+    };
+    for role in [P, Role::Leader] {
+        let owner = if role == P { 0 } else { 1 };
+        facts.seats.insert(role, seat(owner, 5));
+        for m in &members {
+            roles.apply(Input::Session(m, true), Micros::ZERO);
+            let fit = Fit {
+                state: Reach::Up,
+                reached: 100,
+                ..Fit::default()
+            };
+            facts.fits.insert((role, m.clone()), fit);
+        }
+    }
+    (roles, facts)
+}
+
+fn seat(owner: usize, version: u64) -> Seat {
+    Seat {
+        owner: member(owner),
+        lease: 7 + owner as u64,
+        version: Revision(version),
+        live: true,
+        let_go: false,
+    }
+}
+
+fn set(facts: &mut Facts, m: usize, change: impl Fn(&mut Fit)) {
+    for role in [P, Role::Leader] {
+        change(facts.fits.get_mut(&(role, member(m))).unwrap());
+    }
+}
+
+fn moves(roles: &mut Roles, facts: &Facts, now: Micros) -> Vec<Step> {
+    let mut steps = roles.apply(Input::Look(facts), now);
+    steps.retain(|s| !matches!(s, Step::Hold(..) | Step::Release(_)));
+    steps
+}
+
+/// Without the wait a link that fails once would move a partition.
+#[test]
+fn a_role_goes_to_whoever_reaches_more_but_not_at_once() {
+    let (mut roles, mut facts) = begin();
+    assert!(moves(&mut roles, &facts, AT).is_empty());
+    set(&mut facts, 0, |f| (f.reached, f.unreached) = (0, 100));
+    set(&mut facts, 1, |f| (f.reached, f.unreached) = (60, 40));
+    assert!(moves(&mut roles, &facts, AT).is_empty());
+    let later = AT + BETTER_FOR;
+    let step = Step::HandOver(P, member(2));
+    assert_eq!(moves(&mut roles, &facts, later), [step]);
+    // Under way: not begun twice.
+    assert!(moves(&mut roles, &facts, later).is_empty());
+}
+
+/// What is not known of others is no reason to move; nor one that can't write, nor as good as.
+#[test]
+fn a_role_never_goes_to_one_who_is_worse_off() {
+    for change in [
+        (|f| f.state = Reach::Doubtful) as fn(&mut Fit),
+        |f| f.reached = 0,
+        |f| f.reached = 8,
+        |f| *f = Fit::default(),
+    ] {
+        let (mut roles, mut facts) = begin();
+        set(&mut facts, 0, |f| (f.reached, f.unreached) = (0, 100));
+        set(&mut facts, 1, change);
+        set(&mut facts, 2, change);
+        for s in 0..20 {
+            let now = AT + Micros::from_secs(s);
+            assert!(moves(&mut roles, &facts, now).is_empty());
+        }
+    }
+}
+
+/// Without damping a role would follow a flapping link back and forth.
+#[test]
+fn no_role_moves_twice_within_the_damping() {
+    let (mut roles, mut facts) = begin();
+    // It comes from m1, whose session goes on.
+    facts.seats.insert(P, seat(1, 4));
+    facts.held.clear();
+    moves(&mut roles, &facts, AT);
+    facts.seats.insert(P, seat(0, 5));
+    facts.held.insert(P);
+    set(&mut facts, 0, |f| (f.reached, f.unreached) = (0, 100));
+    for s in 1..30 {
+        let now = AT + Micros::from_secs(s);
+        assert!(moves(&mut roles, &facts, now).is_empty(), "{s}");
+    }
+    let later = AT + Micros::from_secs(32);
+    assert_eq!(moves(&mut roles, &facts, later).len(), 1);
+}
+
+/// Home is only better where it is no worse off.
+#[test]
+fn a_partition_goes_home_unless_home_is_cut_off() {
+    for (worse, by_reach) in [(false, true), (true, true), (true, false)] {
+        let (mut roles, mut facts) = begin();
+        roles.me = member(1);
+        facts.lease = 8;
+        facts.by_reach = by_reach;
+        facts.seats.insert(P, seat(1, 5));
+        if worse {
+            set(&mut facts, 0, |f| (f.reached, f.unreached) = (0, 100));
+        }
+        let goes = !moves(&mut roles, &facts, AT).is_empty();
+        assert_eq!(goes, !worse || !by_reach);
+    }
+}
+
+/// A controller that can't write lets go if somebody else can, and keeps what it has in an
+/// outage that everybody sees.
+#[test]
+fn a_role_is_let_go_only_if_somebody_else_can_write() {
+    let (mut roles, mut facts) = begin();
+    set(&mut facts, 0, |f| f.state = Reach::Down);
+    assert!(moves(&mut roles, &facts, AT).is_empty());
+    let later = AT + UNSERVED_FOR;
+    assert_eq!(moves(&mut roles, &facts, later), [Step::LetGo(P)]);
+    for m in [1, 2] {
+        set(&mut facts, m, |f| f.state = Reach::Down);
+    }
+    assert!(moves(&mut roles, &facts, later).is_empty());
+    // What is given up stays so at this revision, and only at this one.
+    roles.apply(Input::GivenUp(P, Revision(5)), later);
+    let steps = roles.apply(Input::Look(&facts), later);
+    assert!(steps.contains(&Step::Release(P)));
+    facts.seats.insert(P, seat(0, 6));
+    let steps = roles.apply(Input::Look(&facts), later);
+    assert!(steps.contains(&Step::Hold(P, Revision(6))));
+}
+
+/// An orphan, or one that was let go, is taken by whoever is better off first.
+#[test]
+fn whoever_reaches_less_leaves_an_orphan_to_others_first() {
+    let (mut roles, mut facts) = begin();
+    facts.held.clear();
+    facts.seats.insert(
+        P,
+        Seat {
+            let_go: true,
+            ..seat(1, 5)
+        },
+    );
+    set(&mut facts, 0, |f| (f.reached, f.unreached) = (0, 100));
+    assert!(moves(&mut roles, &facts, AT).is_empty());
+    let later = AT + WORSE_OFF;
+    assert_eq!(moves(&mut roles, &facts, later), [Step::Take(P)]);
+    let (mut roles, mut facts) = begin();
+    facts.held.clear();
+    facts.seats.insert(
+        P,
+        Seat {
+            let_go: true,
+            ..seat(1, 5)
+        },
+    );
+    assert_eq!(moves(&mut roles, &facts, AT), [Step::Take(P)]);
+}
--- /dev/null
+++ b/crates/jasperhill-members/src/view.rs
@@ -0,0 +1,369 @@
+//! What this controller knows of the links: its own, and those that others have told it of.
+//! Advice only: no rule hangs on it. Every change goes through [`View::apply`].
+
+use crate::link::{Evidence, Link, Patience};
+use jasperhill_wire::{
+    Member, Micros, Name, Revision,
+    mesh::{LinkReport, Reach, ZoneReach},
+    record::Role,
+};
+use std::collections::BTreeMap;
+
+/// What others said counts for so long.
+const FRESH: Micros = Micros::from_secs(5);
+/// Silence of fewer hosts than this is judged host by host, by their longest pause.
+const MANY: u32 = 30;
+/// Hosts among many speak all the time: after this silence some are asked.
+const QUIET: Micros = Micros::from_millis(1_500);
+/// A link that nobody has fed for so long is asked about.
+const UNFED: Micros = Micros::from_secs(8);
+/// Younger than this, what a member got through to a zone shows that it still does: less than
+/// the time after which a role moves.
+const PROVED: Micros = Micros::from_millis(2_500);
+const PROBE_AGAIN: Micros = Micros::from_secs(1);
+const PROBE_SELDOM: Micros = Micros::from_secs(4);
+
+/// One link of this controller.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LinkId {
+    State,
+    Cloud,
+    Peer(Member),
+    /// Reports of a zone's workers that come in here.
+    Reports(Name),
+    /// Orders that go out to a zone's workers.
+    Orders(Name),
+}
+
+#[derive(Clone, Debug)]
+pub enum Input<'a> {
+    Evidence(LinkId, Evidence),
+    /// So many hosts of a zone should report here; `report` is their pause.
+    Expect {
+        zone: &'a Name,
+        hosts: u32,
+        report: Micros,
+    },
+    /// Another controller told how it stands.
+    Said(&'a LinkReport),
+}
+
+/// What to do about it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// A link stood one way and stands another.
+    Changed(LinkId, Reach, Reach),
+    /// Ask some workers of this zone.
+    Probe(Name),
+}
+
+#[derive(Clone, Debug)]
+struct Zone {
+    last_report: Micros,
+    probed: Micros,
+    /// When something last got through, in either direction.
+    proved: Micros,
+}
+
+#[derive(Clone, Debug)]
+pub struct View {
+    me: Member,
+    links: BTreeMap<LinkId, Link>,
+    zones: BTreeMap<Name, Zone>,
+    said: BTreeMap<Member, (LinkReport, Micros)>,
+    born: Micros,
+    number: u64,
+    peers: Vec<Member>,
+}
+
+impl View {
+    pub fn new(me: Member, peers: Vec<Member>, born: Micros) -> Self {
+        Self {
+            me,
+            links: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            said: BTreeMap::new(),
+            born,
+            number: 0,
+            peers,
+        }
+    }
+
+    /// The one function that changes it.
+    pub fn apply(&mut self, input: Input<'_>, now: Micros) -> Vec<Output> {
+        match input {
+            Input::Evidence(link, evidence) => {
+                if evidence == Evidence::Carried {
+                    match &link {
+                        LinkId::Reports(zone) => {
+                            let zone = self.zone(zone, now);
+                            (zone.last_report, zone.proved) = (now, now);
+                        }
+                        LinkId::Orders(zone) => self.zone(zone, now).proved = now,
+                        _ => {}
+                    }
+                }
+                self.feed(link, evidence, now)
+            }
+            Input::Expect {
+                zone,
+                hosts,
+                report,
+            } => self.expect(zone, hosts, report, now),
+            Input::Said(report) => {
+                let known = report.from != self.me && self.peers.contains(&report.from);
+                let older = self
+                    .said
+                    .get(&report.from)
+                    .is_some_and(|(r, _)| (r.born, r.number) >= (report.born, report.number));
+                if known && !older {
+                    self.said.insert(report.from.clone(), (report.clone(), now));
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn zone(&mut self, zone: &Name, now: Micros) -> &mut Zone {
+        self.zones.entry(zone.clone()).or_insert(Zone {
+            last_report: now,
+            probed: Micros::ZERO,
+            proved: Micros::ZERO,
+        })
+    }
+
+    fn feed(&mut self, id: LinkId, evidence: Evidence, now: Micros) -> Vec<Output> {
+        let patience = match id {
+            // Whoever waits for the state service or a peer notices each answer.
+            LinkId::State => Patience {
+                down: Micros::from_millis(1_200),
+                up: Micros::ZERO,
+            },
+            LinkId::Peer(_) => Patience {
+                down: Micros::from_secs(1),
+                up: Micros::ZERO,
+            },
+            LinkId::Cloud => Patience {
+                down: Micros::from_secs(6),
+                up: Micros::ZERO,
+            },
+            LinkId::Reports(_) => Patience {
+                down: Micros::from_millis(400),
+                up: Micros::from_millis(500),
+            },
+            LinkId::Orders(_) => Patience {
+                down: Micros::from_millis(600),
+                up: Micros::from_secs(1),
+            },
+        };
+        let link = self
+            .links
+            .entry(id.clone())
+            .or_insert_with(|| Link::new(patience));
+        let before = link.reach();
+        if link.apply(evidence, now) {
+            vec![Output::Changed(id, before, link.reach())]
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Silence where reports are due, and questions where nothing else speaks.
+    fn expect(&mut self, zone: &Name, hosts: u32, report: Micros, now: Micros) -> Vec<Output> {
+        let orders = self.own(&LinkId::Orders(zone.clone()));
+        let fed = self
+            .links
+            .get(&LinkId::Orders(zone.clone()))
+            .map_or(Micros::ZERO, Link::fed);
+        let state = self.zone(zone, now);
+        let quiet = now - state.last_report;
+        let allowed = if hosts < MANY {
+            report.scale(1.25) + Micros::from_secs(1)
+        } else if matches!(orders, Reach::Doubtful | Reach::Down) {
+            // Both directions agree: it need not be waited for.
+            QUIET
+        } else {
+            report.scale(0.75) + Micros::from_secs(1)
+        };
+        // Whoever does not reach a zone needs to know who does, now and not some time ago.
+        let wanted = self.is_missed(zone, now);
+        let state = self.zone(zone, now);
+        let unproved = wanted && now - state.proved >= PROBE_AGAIN;
+        let wants = match orders {
+            Reach::Down | Reach::Doubtful => now - fed >= PROBE_AGAIN.scale(0.5),
+            _ => (hosts >= MANY && quiet >= QUIET) || quiet >= allowed || now - fed >= UNFED,
+        };
+        let pause = match orders {
+            _ if unproved => PROBE_AGAIN,
+            Reach::Up | Reach::Unknown if quiet < QUIET || hosts < MANY => PROBE_SELDOM,
+            _ => PROBE_AGAIN,
+        };
+        let probe = (wants || unproved) && now - state.probed >= pause;
+        if probe {
+            state.probed = now;
+        }
+        let mut out = Vec::new();
+        let id = LinkId::Reports(zone.clone());
+        if hosts > 0 && quiet >= allowed {
+            let silence = Evidence::Failed { by: now.0, of: 1 };
+            out.extend(self.feed(id, silence, now));
+        } else if hosts == 0 && quiet > FRESH && self.own(&id) != Reach::Unknown {
+            out.extend(self.feed(id, Evidence::Nobody, now));
+        }
+        if probe {
+            out.push(Output::Probe(zone.clone()));
+        }
+        out
+    }
+
+    /// Some other member does not reach this zone.
+    fn is_missed(&self, zone: &Name, now: Micros) -> bool {
+        self.peers
+            .iter()
+            .any(|m| self.reaches(m, zone, now) == Reach::Down)
+    }
+
+    /// Whether a member has shown lately that it reaches a zone's workers. Guards against a role
+    /// that goes to somebody beyond the same cut who has not noticed it yet.
+    pub fn is_proved(&self, member: &Member, zone: &Name, now: Micros) -> bool {
+        let Some((report, at)) = self.said.get(member) else {
+            return false;
+        };
+        let there = report.zones.iter().find(|z| &z.zone == zone);
+        there.is_some_and(|z| now - (*at - z.proved) < PROVED)
+    }
+
+    /// How this controller's own link stands.
+    pub fn own(&self, link: &LinkId) -> Reach {
+        self.links.get(link).map_or(Reach::Unknown, Link::reach)
+    }
+
+    /// What a peer said, if that is recent.
+    pub fn said(&self, member: &Member, now: Micros) -> Option<&LinkReport> {
+        let (report, at) = self.said.get(member)?;
+        (now - *at < FRESH).then_some(report)
+    }
+
+    /// Whether the state service answers that member, as far as is known.
+    pub fn is_served(&self, member: &Member, now: Micros) -> Reach {
+        if *member == self.me {
+            return self.own(&LinkId::State);
+        }
+        self.said(member, now).map_or(Reach::Unknown, |r| r.state)
+    }
+
+    /// Some other member is answered by the state service.
+    pub fn other_served(&self, now: Micros) -> bool {
+        self.peers
+            .iter()
+            .any(|m| self.is_served(m, now) == Reach::Up)
+    }
+
+    /// Reports that come in, and orders that go out, between a member and a zone's workers.
+    pub fn directions(&self, member: &Member, zone: &Name, now: Micros) -> (Reach, Reach) {
+        if *member == self.me {
+            return (
+                self.own(&LinkId::Reports(zone.clone())),
+                self.own(&LinkId::Orders(zone.clone())),
+            );
+        }
+        let said = self.said(member, now);
+        said.and_then(|r| r.zones.iter().find(|z| &z.zone == zone))
+            .map_or((Reach::Unknown, Reach::Unknown), |z| (z.reports, z.orders))
+    }
+
+    /// Whether a member and a zone's workers reach each other. What is not known is no reason
+    /// against a direction while the other works.
+    pub fn reaches(&self, member: &Member, zone: &Name, now: Micros) -> Reach {
+        match self.directions(member, zone, now) {
+            (Reach::Down, _) | (_, Reach::Down) => Reach::Down,
+            (Reach::Doubtful, _) | (_, Reach::Doubtful) => Reach::Doubtful,
+            (Reach::Unknown, Reach::Unknown) => Reach::Unknown,
+            _ => Reach::Up,
+        }
+    }
+
+    /// Whether that member is reached from here, and has been heard.
+    pub fn hears(&self, member: &Member, now: Micros) -> bool {
+        self.own(&LinkId::Peer(member.clone())) != Reach::Down && self.said(member, now).is_some()
+    }
+
+    /// A peer through which orders get to a zone's workers.
+    pub fn way_to(&self, zone: &Name, now: Micros) -> Option<&Member> {
+        self.peers.iter().find(|m| {
+            self.hears(m, now)
+                && matches!(
+                    self.directions(m, zone, now),
+                    (_, Reach::Up) | (Reach::Up, Reach::Unknown)
+                )
+        })
+    }
+
+    /// A third member that hears both a peer and a zone's workers.
+    pub fn between(&self, peer: &Member, zone: &Name, now: Micros) -> Option<&Member> {
+        self.peers.iter().find(|m| {
+            *m != peer
+                && self.hears(m, now)
+                && self.said(m, now).is_some_and(|r| r.heard.contains(peer))
+                && self.reaches(m, zone, now) == Reach::Up
+        })
+    }
+
+    /// The youngest ownership of a role that anybody has told of.
+    pub fn owner(&self, role: Role, now: Micros) -> Option<(&Member, Revision)> {
+        self.peers
+            .iter()
+            .filter_map(|m| self.said(m, now))
+            .flat_map(|r| &r.owners)
+            .filter(|(r, ..)| *r == role)
+            .map(|(_, owner, version)| (owner, *version))
+            .max_by_key(|(_, version)| *version)
+    }
+
+    /// The owner of a role at this revision says that it has stopped acting on it for good.
+    pub fn let_go(&self, owner: &Member, role: Role, version: Revision, now: Micros) -> bool {
+        self.said(owner, now)
+            .is_some_and(|r| r.let_go.contains(&(role, version)))
+    }
+
+    /// All of this controller's links are up, as far as they are known.
+    pub fn is_calm(&self) -> bool {
+        let fine = |l: &Link| matches!(l.reach(), Reach::Up | Reach::Unknown);
+        self.links.values().all(fine)
+    }
+
+    /// What this controller tells the others.
+    pub fn report(
+        &mut self,
+        owners: Vec<(Role, Member, Revision)>,
+        let_go: Vec<(Role, Revision)>,
+        now: Micros,
+    ) -> LinkReport {
+        self.number += 1;
+        let zones = self.zones.iter().map(|(zone, state)| {
+            let (reports, orders) = self.directions(&self.me, zone, now);
+            ZoneReach {
+                zone: zone.clone(),
+                reports,
+                orders,
+                proved: now - state.proved,
+            }
+        });
+        LinkReport {
+            from: self.me.clone(),
+            born: self.born,
+            number: self.number,
+            state: self.own(&LinkId::State),
+            cloud: self.own(&LinkId::Cloud),
+            zones: zones.collect(),
+            heard: self
+                .peers
+                .iter()
+                .filter(|m| self.hears(m, now))
+                .cloned()
+                .collect(),
+            owners,
+            let_go,
+        }
+    }
+}
--- a/crates/jasperhill-wire/src/mesh.rs
+++ b/crates/jasperhill-wire/src/mesh.rs
@@ -1,6 +1,6 @@
 //! What controllers say to one another, in CBOR. Versioned and bounded.
 
-use crate::{JobId, Micros, user::JobRequest};
+use crate::{HostId, JobId, Member, Micros, Name, Revision, record::Role, user::JobRequest};
 use serde::{Deserialize, Serialize};
 
 pub const VERSION: u16 = 2;
@@ -27,6 +27,50 @@
     Elastic { machines: u32, ready: Micros },
     /// From an owner: the hosts that refused jobs would need, in thousandths.
     Unmet { partition: u32, thousandths: u32 },
+    /// How the sender's links stand. Only to members that understand [`crate::record::LINKS`].
+    Links(Box<LinkReport>),
+    /// Orders to a worker that the sender can't reach, or without a body a question how it is.
+    /// Only to members that understand [`crate::record::LINKS`].
+    Push { host: HostId, body: Option<String> },
+}
+
+/// How well something gets through.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reach {
+    /// Nothing speaks for it or against it.
+    #[default]
+    Unknown,
+    Up,
+    Doubtful,
+    Down,
+}
+
+/// Both directions between a controller and a zone's workers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneReach {
+    pub zone: Name,
+    pub reports: Reach,
+    pub orders: Reach,
+    /// How long ago something last got through, in either direction.
+    pub proved: Micros,
+}
+
+/// What a controller says of its links. Later ones have a greater (`born`, `number`).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkReport {
+    pub from: Member,
+    /// When its process began, by the time of day.
+    pub born: Micros,
+    pub number: u64,
+    pub state: Reach,
+    pub cloud: Reach,
+    pub zones: Vec<ZoneReach>,
+    /// The members that it hears.
+    pub heard: Vec<Member>,
+    /// Who owns what, with the revisions, as its mirror shows.
+    pub owners: Vec<(Role, Member, Revision)>,
+    /// Its own roles that it has stopped acting on for good, at these revisions.
+    pub let_go: Vec<(Role, Revision)>,
 }
 
 /// How many tasks of a job run and are done, as its owner sees it.
@@ -55,6 +99,15 @@
     },
     Fresh(bool),
     Noted,
+    /// The asked controller's own report, in return.
+    Links(Box<LinkReport>),
+    /// What the worker answered.
+    Pushed {
+        status: u16,
+        body: String,
+    },
+    /// Nothing was sent to the worker, and nothing will be.
+    NotPushed,
 }
 
 #[derive(Debug, thiserror::Error)]
--- a/crates/jasperhill-wire/src/record.rs
+++ b/crates/jasperhill-wire/src/record.rs
@@ -46,7 +46,7 @@
     format!("jh/grant/{partition}/{keeper}")
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Role {
     Partition(u32),
     Leader,
@@ -151,8 +151,12 @@
 }
 
 /// What this version understands. 0, or no word of it: nothing beyond single jobs and blocks of
-/// any size. 1: `waits_on`, the spreading of cancellations, small blocks, asks in parts.
-pub const FORMAT: u32 = 1;
+/// any size. [`PIPELINES`] and [`LINKS`] say what came with the others.
+pub const FORMAT: u32 = LINKS;
+/// `waits_on`, the spreading of cancellations, small blocks, asks in parts.
+pub const PIPELINES: u32 = 1;
+/// Messages about links, orders through another controller, roles taken by the owner's word.
+pub const LINKS: u32 = 2;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SessionRecord {
--- a/crates/jasperhill-wire/src/worker.rs
+++ b/crates/jasperhill-wire/src/worker.rs
@@ -175,6 +175,16 @@
     .unwrap_or_default()
 }
 
+/// Where the body of a 421 sends a worker, if it names somebody.
+pub fn redirected_to(body: &[u8]) -> Option<Member> {
+    #[derive(serde::Deserialize)]
+    struct Body {
+        reports_to: Option<String>,
+    }
+    let body: Body = serde_json::from_slice(body).ok()?;
+    body.reports_to.map(|m| Member::new(&m))
+}
+
 /// The body of a 421.
 pub fn redirect_body(to: Option<&Member>) -> Vec<u8> {
     match to {
