--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -127,11 +127,14 @@
 
 impl Inner {
     /// Notes whether another controller answers.
-    pub fn note_reach(&self, to: std::net::SocketAddr, answered: bool) {
+    pub fn note_reach(&self, to: std::net::SocketAddr, answered: bool, short: bool) {
         let Some(peer) = self.settings.peers.iter().find(|p| p.address == to) else {
             return;
         };
-        self.note_link(LinkId::Peer(peer.member.clone()), evidence_of(answered));
+        // What took too long there is no fault of the link: that is judged by short questions.
+        if answered || short {
+            self.note_link(LinkId::Peer(peer.member.clone()), evidence_of(answered));
+        }
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let unreached = &mut state.keeping.unreached;
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -63,10 +63,11 @@
         ask: MeshRequest,
         limit: Micros,
     ) -> Result<MeshAnswer, ClientError> {
+        let short = matches!(ask, MeshRequest::Links(_) | MeshRequest::IsFresh);
         let body = encode(ask).map_err(|_| ClientError::NotSent)?;
         let request = Request::new(Method::Post, "/mesh", body);
         let answer = self.call(to, request, limit).await;
-        self.note_reach(to, answer.is_ok());
+        self.note_reach(to, answer.is_ok(), short);
         let answer = answer?;
         if answer.status != 200 {
             return Err(ClientError::NotSent);
--- a/crates/jasperhill-control/src/roles.rs
+++ b/crates/jasperhill-control/src/roles.rs
@@ -6,7 +6,7 @@
     store::{Urgency, Written, guard, put},
 };
 use jasperhill_members::roles::{self, Facts, Step};
-use jasperhill_sched::{Partition, job::Gate};
+use jasperhill_sched::{Host, Partition, job::Gate};
 use jasperhill_wire::{
     Member, Micros, Revision,
     record::{PIPELINES, Role, RoleRecord, role_key, session_key},
@@ -21,8 +21,9 @@
             for step in self.look_at_roles() {
                 match step {
                     Step::Take(role) => self.clone().spawn(self.clone().take(role)),
-                    Step::HandOver(role, to) => {
-                        self.clone().spawn(self.clone().hand_over(role, to));
+                    Step::HandOver { role, to, urgent } => {
+                        let task = self.clone().hand_over(role, to, urgent);
+                        self.clone().spawn(task);
                     }
                     Step::Hold(..) | Step::Release(_) | Step::LetGo(_) => {}
                 }
@@ -214,7 +215,7 @@
 
     /// Stops acting first, then writes the new owner. If that fails or its fate is unknown,
     /// only a new takeover (at a new revision, which kills the late write) brings it back.
-    async fn hand_over(self: Rc<Self>, role: Role, to: Member) {
+    async fn hand_over(self: Rc<Self>, role: Role, to: Member, urgent: bool) {
         let prepared = {
             let mut guarded = self.state.borrow_mut();
             let state = &mut *guarded;
@@ -222,7 +223,8 @@
             let session = state.mirror.sessions.get(&to).cloned();
             let settled = match role {
                 Role::Partition(p) => state.partitions.get(&p).is_some_and(|part| {
-                    part.hosts.values().all(|h| !h.in_flight() && !h.in_doubt())
+                    let quiet = |h: &Host| !h.in_flight() && !h.in_doubt();
+                    urgent || part.hosts.values().all(quiet)
                 }),
                 Role::Leader => state.leader.is_some(),
             };
--- a/crates/jasperhill-members/src/link.rs
+++ b/crates/jasperhill-members/src/link.rs
@@ -17,6 +17,8 @@
 const FAILED_MAX: usize = 8;
 /// Over this time what was seen loses its weight.
 const MEMORY_S: f64 = 4.0;
+/// What failed in a cut is forgiven no more often than this.
+const FORGIVE_AGAIN: Micros = Micros::from_secs(20);
 /// Failures of this weight that outweigh what got through make a link limp.
 const LIMP: f64 = 4.0;
 
@@ -51,6 +53,8 @@
     /// What got through and what did not, fading.
     good: f64,
     bad: f64,
+    /// When what failed was last forgiven.
+    forgiven: Option<Micros>,
     fed: Micros,
 }
 
@@ -65,6 +69,7 @@
             rising: None,
             good: 0.0,
             bad: 0.0,
+            forgiven: None,
             fed: Micros::ZERO,
         }
     }
@@ -87,6 +92,15 @@
         let to = match evidence {
             Evidence::Carried => {
                 self.good += 1.0;
+                // A cut that is over leaves nothing behind: what failed in it does not speak
+                // against the link. But not again and again, or a limp link would look whole.
+                if self.reach == Reach::Down
+                    && self.streak >= STREAK
+                    && self.forgiven.is_none_or(|t| now - t >= FORGIVE_AGAIN)
+                {
+                    self.forgiven = Some(now);
+                    self.bad = 0.0;
+                }
                 self.failing = None;
                 self.streak = 0;
                 self.failed.clear();
@@ -146,6 +160,35 @@
         Evidence::Failed { by, of: 100 }
     }
 
+    /// Guards against a link that is taken for down for seconds after a long cut.
+    #[test]
+    fn after_a_cut_it_is_up_with_the_first_thing_that_gets_through() {
+        let at = Micros::from_millis;
+        let mut link = Link::new(Patience {
+            up: Micros::ZERO,
+            ..PATIENCE
+        });
+        let mut now = 1_000;
+        let cut = |link: &mut Link, now: &mut u64| {
+            for _ in 0..20 {
+                *now += 900;
+                link.apply(fail(*now), at(*now));
+            }
+            assert_eq!(link.reach(), Reach::Down);
+        };
+        cut(&mut link, &mut now);
+        link.apply(Evidence::Carried, at(now + 100));
+        assert_eq!(link.reach(), Reach::Up);
+        // One that flaps has to show more.
+        for by in 0..4 {
+            now += 900;
+            link.apply(fail(by), at(now));
+        }
+        assert_eq!(link.reach(), Reach::Down);
+        link.apply(Evidence::Carried, at(now + 100));
+        assert_eq!(link.reach(), Reach::Down);
+    }
+
     #[test]
     fn one_machine_that_hangs_is_no_cut_and_several_are() {
         let at = Micros::from_millis;
--- a/crates/jasperhill-members/src/roles.rs
+++ b/crates/jasperhill-members/src/roles.rs
@@ -110,7 +110,13 @@
     /// Nobody's: take it.
     Take(Role),
     /// Stop acting, then write this owner.
-    HandOver(Role, Member),
+    /// `urgent`: its hosts are not reached from here, so what is outstanding there can't be
+    /// waited for; the next owner takes nothing for settled anyway.
+    HandOver {
+        role: Role,
+        to: Member,
+        urgent: bool,
+    },
     /// Stop acting, then say so: this controller can't write, and somebody else can.
     LetGo(Role),
 }
@@ -212,10 +218,10 @@
                 }
                 if lets_go {
                     steps.push(Step::LetGo(role));
-                } else if let Some(to) = self.better(role, facts, now)
+                } else if let Some((to, urgent)) = self.better(role, facts, now)
                     && self.moving.insert(role)
                 {
-                    steps.push(Step::HandOver(role, to));
+                    steps.push(Step::HandOver { role, to, urgent });
                 }
                 continue;
             }
@@ -305,7 +311,7 @@
 
     /// Who should hold a role instead of this controller: whoever reaches clearly more, or for a
     /// partition its home once that is back and no worse off.
-    fn better(&mut self, role: Role, facts: &Facts, now: Micros) -> Option<Member> {
+    fn better(&mut self, role: Role, facts: &Facts, now: Micros) -> Option<(Member, bool)> {
         let moved = self.moved.get(&role);
         let damped = facts.by_reach && moved.is_some_and(|t| now - *t < facts.damping);
         if let Some(to) = self.fitter(role, facts) {
@@ -315,7 +321,7 @@
             }
             // Guards against roles that go back and forth with a link that flaps.
             let due = now - *since >= BETTER_FOR && !damped;
-            return due.then_some(to);
+            return due.then_some((to, true));
         }
         self.wished.remove(&role);
         let home = self.home(role);
@@ -325,10 +331,11 @@
             return None;
         }
         let (here, there) = (facts.fit(role, &self.me), facts.fit(role, home));
-        let worse = there.state == Reach::Down
+        let worse = there.state != Reach::Up
             || there.unreached > here.unreached + (facts.of(role) / 10).max(1);
-        // Guards against a role that goes home to one who is worse off.
-        (!facts.by_reach || !worse).then(|| home.clone())
+        // Guards against a role that goes home to one who is worse off, or has ended and whose
+        // session has not.
+        (!facts.by_reach || !worse).then(|| (home.clone(), false))
     }
 }
 
