Jobs find their owner through the store; an owner without workers hands over unheard

Such jobs are now put before their owner through the store (jh/want, tied to the asker's session, format 2), and one who reaches none of a role's hosts hands it to one with a session that it does not hear: that can't be worse off.

--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -80,6 +80,10 @@
     pub keeping: Keeping,
     pub learned: Learned,
     pub granted: Granted,
+    /// Jobs that this controller has put before their owners through the store.
+    pub wanting: BTreeSet<JobId>,
+    /// Jobs that others have put before owners, to be looked at.
+    pub wanted: BTreeSet<JobId>,
     /// Keepers whose asks have changed.
     pub asked: BTreeSet<Member>,
     pub barrier: Vec<oneshot::Sender<bool>>,
@@ -138,6 +142,8 @@
     pub wake_links: Notify,
     /// A host's record has changed.
     pub wake_hosts: Notify,
+    /// A job that is put before its owner through the store may have been decided on.
+    pub wake_wants: Notify,
 }
 
 /// One controller. Dropping it ends all that it does.
@@ -170,6 +176,8 @@
             keeping: Keeping::default(),
             learned: Learned::default(),
             granted: Granted::new(),
+            wanting: BTreeSet::new(),
+            wanted: BTreeSet::new(),
             asked: BTreeSet::new(),
             barrier: Vec::new(),
             requests: Bucket::new(rps, rps, now),
@@ -217,6 +225,7 @@
             wake_counts: Notify::new(),
             wake_links: Notify::new(),
             wake_hosts: Notify::new(),
+            wake_wants: Notify::new(),
         });
         inner.clone().spawn(inner.clone().mirror_loop());
         inner.clone().spawn(inner.clone().barrier_loop());
@@ -302,6 +311,9 @@
         for change in changes {
             match change {
                 Change::Job(id) => {
+                    if state.wanting.contains(&id) {
+                        self.wake_wants.notify_waiters();
+                    }
                     if following && state.mirror.chain.standing(&id) == Standing::Ready {
                         self.note_arrival(&mut state, &id, now);
                     }
@@ -335,6 +347,14 @@
                     state.asked.insert(keeper);
                     self.wake_grant.notify_one();
                 }
+                Change::Want(id) => {
+                    if state.wanting.contains(&id) {
+                        self.wake_wants.notify_waiters();
+                    } else {
+                        state.wanted.insert(id);
+                        self.wake_grant.notify_one();
+                    }
+                }
                 Change::Grant => self.wake_kept.notify_waiters(),
                 Change::Types => {
                     if state.specs.is_none()
--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -339,7 +339,16 @@
     pub async fn grant_loop(self: Rc<Self>) {
         loop {
             let _ = timeout(Duration::from_secs(1), self.wake_grant.notified()).await;
-            let asked = std::mem::take(&mut self.state.borrow_mut().asked);
+            let (asked, wanted) = {
+                let mut state = self.state.borrow_mut();
+                (
+                    std::mem::take(&mut state.asked),
+                    std::mem::take(&mut state.wanted),
+                )
+            };
+            for id in wanted {
+                self.clone().spawn(self.clone().consider_want(id));
+            }
             for keeper in asked {
                 self.consider_ask(&keeper);
             }
--- a/crates/jasperhill-control/src/lib.rs
+++ b/crates/jasperhill-control/src/lib.rs
@@ -19,6 +19,7 @@
 mod store;
 mod upgrade;
 mod users;
+mod wants;
 mod workers;
 
 pub use clock::Clock;
--- a/crates/jasperhill-control/src/mirror.rs
+++ b/crates/jasperhill-control/src/mirror.rs
@@ -8,7 +8,7 @@
     cloud::MachineTypes,
     record::{
         AskRecord, FormatRecord, GrantRecord, HostBlock, HostRecord, JobRecord, Key, RecordPhase,
-        Role, RoleRecord, SessionRecord,
+        Role, RoleRecord, SessionRecord, WantRecord,
     },
     state::{Event, Item},
     user::JobRequest,
@@ -97,6 +97,7 @@
     Format(Member),
     Role(Role),
     Ask(Member),
+    Want(JobId),
     Grant,
     Types,
 }
@@ -125,6 +126,7 @@
     /// The cloud's machine types, in parts.
     types: BTreeMap<u32, Kept<MachineTypes>>,
     pub asks: BTreeMap<Member, Kept<AskRecord>>,
+    pub wants: BTreeMap<JobId, Kept<WantRecord>>,
     pub grants: BTreeMap<(u32, Member), Kept<GrantRecord>>,
     /// Keys deleted by ourselves ahead of the watch, with the revisions of the deletions.
     buried: BTreeMap<String, Revision>,
@@ -147,6 +149,7 @@
             roles: BTreeMap::new(),
             types: BTreeMap::new(),
             asks: BTreeMap::new(),
+            wants: BTreeMap::new(),
             grants: BTreeMap::new(),
             buried: BTreeMap::new(),
         }
@@ -307,7 +310,9 @@
 
     /// Keys that can go away, with their versions. Jobs never do.
     fn keys(&self) -> Vec<(String, Revision)> {
-        use jasperhill_wire::record::{ask_key, block_key, grant_key, role_key, session_key};
+        use jasperhill_wire::record::{
+            ask_key, block_key, grant_key, role_key, session_key, want_key,
+        };
         let hosts = self.blocks.iter().map(|(n, v)| (block_key(*n), *v));
         let sessions = self
             .sessions
@@ -315,6 +320,7 @@
             .map(|(m, k)| (session_key(m), k.version));
         let roles = self.roles.iter().map(|(r, k)| (role_key(*r), k.version));
         let asks = self.asks.iter().map(|(m, k)| (ask_key(m), k.version));
+        let wants = self.wants.iter().map(|(id, k)| (want_key(id), k.version));
         let grants = self
             .grants
             .iter()
@@ -323,6 +329,7 @@
             .chain(sessions)
             .chain(roles)
             .chain(asks)
+            .chain(wants)
             .chain(grants)
             .collect()
     }
@@ -357,6 +364,12 @@
                     changes.push(Change::Role(role));
                 }
             }),
+            Key::Want(id) => read(value).map(|value| {
+                if newer(self.wants.get(&id), version) {
+                    self.wants.insert(id.clone(), Kept { value, version });
+                    changes.push(Change::Want(id));
+                }
+            }),
             Key::Ask(keeper) => read(value).map(|value| {
                 if newer(self.asks.get(&keeper), version) {
                     self.asks.insert(keeper.clone(), Kept { value, version });
@@ -527,6 +540,11 @@
                     changes.push(Change::Role(role));
                 }
             }
+            Key::Want(id) => {
+                if self.wants.get(&id).is_some_and(|k| version > k.version) {
+                    self.wants.remove(&id);
+                }
+            }
             Key::Ask(keeper) => {
                 if self.asks.get(&keeper).is_some_and(|k| version > k.version) {
                     self.asks.remove(&keeper);
--- a/crates/jasperhill-control/src/users.rs
+++ b/crates/jasperhill-control/src/users.rs
@@ -5,7 +5,7 @@
     mirror::JobEntry,
     store::{Urgency, Written, guard, put},
 };
-use jasperhill_http::{Method, Request, Response};
+use jasperhill_http::{ClientError, Method, Request, Response};
 use jasperhill_sched::{Verdict, chain::Standing, config::impossible};
 use jasperhill_wire::{
     JobId, Member, Micros, Revision,
@@ -195,12 +195,19 @@
             .cloned();
         let verdict = match owner {
             Some(owner) if owner == self.settings.member => self.admit(request).await,
+            Some(owner) if self.asks_by_store(&owner) => self.want(request).await,
             Some(owner) => match self.address_of(&owner) {
                 Some(address) => {
-                    let ask = MeshRequest::Admit(Box::new(request));
-                    self.ask(address, ask, Micros::from_millis(1_800))
-                        .await
-                        .unwrap_or(MeshAnswer::Unavailable)
+                    let ask = MeshRequest::Admit(Box::new(request.clone()));
+                    let limit = Micros::from_millis(1_800);
+                    match self.ask_fate(address, ask, limit).await {
+                        Ok(verdict) => verdict,
+                        // Refused at once, as beyond a packet filter.
+                        Err(ClientError::NotSent) if self.has_links(&self.state.borrow()) => {
+                            self.want(request).await
+                        }
+                        Err(_) => MeshAnswer::Unavailable,
+                    }
                 }
                 None => MeshAnswer::Unavailable,
             },
--- /dev/null
+++ b/crates/jasperhill-control/src/wants.rs
@@ -0,0 +1,147 @@
+//! Jobs with deadlines whose owner is not reached by mesh while the state service answers: they are
+//! put before it through the store. Owns the questions of this controller that are open.
+//!
+//! The receiver writes `jh/want/<job>`, tied to its session. The owner sees it, runs the admission
+//! test and writes the job's record, or the refusal into the want; the receiver sees either and
+//! deletes the want. A want that is seen late is as good as a submission that comes late: the
+//! job's record is written once, guarded by its absence, and a user who was told to come back
+//! finds it there.
+
+use crate::{
+    controller::Inner,
+    store::{Urgency, Written, guard, put},
+};
+use jasperhill_members::{authority::Session, view::LinkId};
+use jasperhill_wire::{
+    JobId, Member, Micros, Revision,
+    mesh::{MeshAnswer, Reach},
+    record::{Role, WantRecord, session_key, want_key},
+    state::Change,
+    user::JobRequest,
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time::timeout;
+
+/// Questions of this controller open at a time; beyond, users are told to come back at once.
+const WANTS_MAX: usize = 64;
+/// How long the owner's word is waited for: users wait five seconds for an answer.
+const WAIT: Duration = Duration::from_millis(1_500);
+const WRITE: Micros = Micros::from_millis(700);
+
+impl Inner {
+    /// Whether the owner had better be asked through the store.
+    pub fn asks_by_store(&self, owner: &Member) -> bool {
+        let state = self.state.borrow();
+        self.has_links(&state) && state.view.own(&LinkId::Peer(owner.clone())) == Reach::Down
+    }
+
+    /// Puts a job before its owner through the store, and waits for its word.
+    pub async fn want(self: &Rc<Self>, request: JobRequest) -> MeshAnswer {
+        let id = request.id.clone();
+        let record = WantRecord {
+            by: self.settings.member.clone(),
+            request: Some(request),
+            retry_after_s: None,
+        };
+        let bytes = serde_json::to_vec(&record).map_or(usize::MAX, |b| b.len());
+        let (lease, version) = {
+            let mut state = self.state.borrow_mut();
+            let Session::Held { lease, version } = state.authority.session() else {
+                return MeshAnswer::Unavailable;
+            };
+            if bytes > self.settings.value_bytes
+                || state.alone
+                || state.wanting.len() >= WANTS_MAX
+                || state.mirror.wants.contains_key(&id)
+                || !state.wanting.insert(id.clone())
+            {
+                return MeshAnswer::Unavailable;
+            }
+            (lease, version)
+        };
+        let change = match put(want_key(&id), &record) {
+            Change::Put { key, value, .. } => Change::Put {
+                key,
+                value,
+                lease: Some(lease),
+            },
+            other => other,
+        };
+        let me = session_key(&self.settings.member);
+        let guards = vec![guard(me, version), guard(want_key(&id), Revision(0))];
+        let done = self
+            .write(Urgency::Accept, guards, vec![change], WRITE)
+            .await;
+        let word = match done {
+            Written::Done(_) => timeout(WAIT, self.word_on(&id)).await.ok(),
+            _ => None,
+        };
+        self.state.borrow_mut().wanting.remove(&id);
+        if !matches!(done, Written::Conflict | Written::NotDone) {
+            self.clone().spawn(self.clone().forget_want(id));
+        }
+        word.unwrap_or(MeshAnswer::Unavailable)
+    }
+
+    /// The owner's word: the job's record, or a refusal.
+    async fn word_on(&self, id: &JobId) -> MeshAnswer {
+        loop {
+            let news = self.wake_wants.notified();
+            {
+                let state = self.state.borrow();
+                if state.mirror.job(id).is_some() {
+                    return MeshAnswer::Accepted;
+                }
+                let want = state.mirror.wants.get(id);
+                if let Some(retry_after_s) = want.and_then(|k| k.value.retry_after_s) {
+                    return MeshAnswer::Refused { retry_after_s };
+                }
+            }
+            news.await;
+        }
+    }
+
+    async fn forget_want(self: Rc<Self>, id: JobId) {
+        let change = Change::Delete { key: want_key(&id) };
+        // If it does not come through, the want goes with the session.
+        self.write(
+            Urgency::Finish,
+            Vec::new(),
+            vec![change],
+            Micros::from_secs(10),
+        )
+        .await;
+    }
+
+    /// A want has changed: whoever owns the job's partition decides on it.
+    pub async fn consider_want(self: Rc<Self>, id: JobId) {
+        let found = {
+            let state = self.state.borrow();
+            let kept = state.mirror.wants.get(&id).cloned();
+            kept.filter(|k| k.value.retry_after_s.is_none() && k.value.by != self.settings.member)
+                .and_then(|k| {
+                    let request = k.value.request.clone()?;
+                    let p = self.partition_of(&request.team)?;
+                    let since = state.partitions.get(&p)?.since;
+                    Some((k.version, k.value.by, request, p, since))
+                })
+        };
+        let Some((version, by, request, p, since)) = found else {
+            return;
+        };
+        if let MeshAnswer::Refused { retry_after_s } = self.admit(request).await {
+            let refusal = WantRecord {
+                by,
+                request: None,
+                retry_after_s: Some(retry_after_s),
+            };
+            let guards = vec![
+                guard(want_key(&id), version),
+                guard(jasperhill_wire::record::role_key(Role::Partition(p)), since),
+            ];
+            let change = put(want_key(&id), &refusal);
+            self.write(Urgency::Accept, guards, vec![change], WRITE)
+                .await;
+        }
+    }
+}
--- a/crates/jasperhill-members/src/roles.rs
+++ b/crates/jasperhill-members/src/roles.rs
@@ -16,6 +16,8 @@
 
 /// Somebody else must be better off for so long before a role moves.
 const BETTER_FOR: Micros = Micros::from_millis(2_000);
+/// One that is not heard may be about to be.
+const UNHEARD_FOR: Micros = Micros::from_secs(4);
 /// Without the state service for so long, a role is let go if somebody else is answered.
 const UNSERVED_FOR: Micros = Micros::from_millis(2_000);
 /// An orphan is left for so long to those who reach more of its hosts.
@@ -304,14 +306,27 @@
                 && mine.is_worse_than(&facts.fit(role, m), of)
         };
         let home = self.home(role);
-        self.members
-            .iter()
-            .filter(fitter)
-            .max_by_key(|m| {
-                let fit = facts.fit(role, m);
-                (fit.reached, *m == home, std::cmp::Reverse(fit.load))
-            })
-            .cloned()
+        let best = self.members.iter().filter(fitter).max_by_key(|m| {
+            let fit = facts.fit(role, m);
+            (fit.reached, *m == home, std::cmp::Reverse(fit.load))
+        });
+        best.or_else(|| self.unheard(role, facts)).cloned()
+    }
+
+    /// Where this controller reaches none of a role's hosts, one with a session that is not heard
+    /// can't be worse off. Guards against partitions that stay with an owner without workers while
+    /// controllers don't hear one another.
+    fn unheard(&self, role: Role, facts: &Facts) -> Option<&Member> {
+        let (mine, of) = (facts.fit(role, &self.me), facts.of(role));
+        let cut_off = facts.by_reach && of > 0 && mine.unreached >= of;
+        let unheard = |m: &&Member| {
+            cut_off
+                && **m != self.me
+                && self.alive.contains_key(*m)
+                && facts.fit(role, m).state == Reach::Unknown
+        };
+        let load = |m: &&Member| facts.fit(role, m).load;
+        self.members.iter().filter(unheard).min_by_key(load)
     }
 
     /// Who should hold a role instead of this controller: whoever reaches clearly more, or for a
@@ -325,7 +340,9 @@
                 (*who, *since) = (to.clone(), now);
             }
             // Guards against roles that go back and forth with a link that flaps.
-            let due = now - *since >= BETTER_FOR && !damped;
+            let known = facts.fit(role, &to).state == Reach::Up;
+            let wait = if known { BETTER_FOR } else { UNHEARD_FOR };
+            let due = now - *since >= wait && !damped;
             return due.then_some((to, true));
         }
         self.wished.remove(&role);
--- a/crates/jasperhill-members/src/roles/tests.rs
+++ b/crates/jasperhill-members/src/roles/tests.rs
@@ -84,7 +84,6 @@
         (|f| f.state = Reach::Doubtful) as fn(&mut Fit),
         |f| f.reached = 0,
         |f| f.reached = 8,
-        |f| *f = Fit::default(),
     ] {
         let (mut roles, mut facts) = begin();
         set(&mut facts, 0, |f| (f.reached, f.unreached) = (0, 100));
@@ -97,6 +96,25 @@
     }
 }
 
+/// An owner without any workers that hears nobody gives its role to somebody all the same; with
+/// some workers it keeps it.
+#[test]
+fn one_who_reaches_nothing_hands_over_unheard() {
+    for (reached, goes) in [(0, true), (30, false)] {
+        let (mut roles, mut facts) = begin();
+        set(&mut facts, 0, |f| {
+            (f.reached, f.unreached) = (reached, 100 - reached);
+        });
+        for m in [1, 2] {
+            set(&mut facts, m, |f| *f = Fit::default());
+        }
+        assert!(moves(&mut roles, &facts, AT).is_empty());
+        assert!(moves(&mut roles, &facts, AT + BETTER_FOR).is_empty());
+        let later = moves(&mut roles, &facts, AT + UNHEARD_FOR);
+        assert_eq!(!later.is_empty(), goes);
+    }
+}
+
 /// Without damping a role would follow a flapping link back and forth.
 #[test]
 fn no_role_moves_twice_within_the_damping() {
--- a/crates/jasperhill-testkit/src/rules.rs
+++ b/crates/jasperhill-testkit/src/rules.rs
@@ -27,6 +27,8 @@
     pub started: usize,
     pub most_at_once: usize,
     pub killed: usize,
+    /// Submissions that got no verdict.
+    pub undecided: usize,
     /// Of those, in zones that some controller reached all along, as it did the state service.
     pub killed_in_reach: usize,
     /// When no controller last reached both a zone's workers and the state service.
--- a/crates/jasperhill-testkit/src/state.rs
+++ b/crates/jasperhill-testkit/src/state.rs
@@ -34,6 +34,8 @@
     level: Option<(f64, Instant)>,
     /// Answers of 400 for what is too large.
     pub too_large: usize,
+    /// Jobs that were put before their owners.
+    pub wants: usize,
     /// When roles got another owner: the key, and who.
     pub moves: Vec<(Instant, String, String)>,
     keys: BTreeMap<String, Entry>,
@@ -283,6 +285,9 @@
     }
 
     fn note_move(&mut self, key: &str, value: &Value, now: Instant) {
+        if key.starts_with("jh/want/") && !self.keys.contains_key(key) {
+            self.wants += 1;
+        }
         let is_role = key.starts_with("jh/part/") || key == "jh/leader";
         let owner = value["o"].as_str().unwrap_or_default();
         if is_role && self.field(key, "o").is_none_or(|o| o != owner) {
--- a/crates/jasperhill-testkit/src/users.rs
+++ b/crates/jasperhill-testkit/src/users.rs
@@ -159,6 +159,10 @@
                 return false;
             }
             _ if began.elapsed() > Duration::from_secs(60) => return false,
+            Some((503, _)) | None => {
+                world.inner.borrow_mut().rules.undecided += 1;
+                sleep(Duration::from_secs(2)).await;
+            }
             _ => sleep(Duration::from_secs(2)).await,
         }
     }
--- a/crates/jasperhill-testkit/src/world.rs
+++ b/crates/jasperhill-testkit/src/world.rs
@@ -86,6 +86,9 @@
     pub killed: usize,
     /// Of those, in zones that some controller reached all along, as it did the state service.
     pub killed_in_reach: usize,
+    /// Submissions that got no verdict, and jobs put before their owners through the store.
+    pub undecided: usize,
+    pub wants: usize,
     /// When roles got another owner, from the start: the second, the role and who.
     pub moves: Vec<(f64, String, String)>,
     /// At the end: roles without a live owner, and workers whom nobody answers.
@@ -1077,6 +1080,8 @@
                 .iter()
                 .map(|(at, role, who)| ((*at - now).as_secs_f64(), role.clone(), who.clone()))
                 .collect(),
+            undecided: inner.rules.undecided,
+            wants: inner.state.wants,
             unowned,
             unanswered,
             too_large: inner.state.too_large,
--- a/crates/jasperhill-testkit/tests/links.rs
+++ b/crates/jasperhill-testkit/tests/links.rs
@@ -225,6 +225,50 @@
     assert_eq!(lost, 0);
 }
 
+/// Controllers refuse one another while each reaches everything else: jobs with deadlines are put
+/// before their owners through the store. Without that two of three submissions of such jobs are
+/// sent away as long as it lasts.
+#[test]
+fn jobs_with_deadlines_find_their_owner_through_the_store() {
+    let mut troubles = Vec::new();
+    for n in 0..3 {
+        for other in (0..3).filter(|o| *o != n) {
+            let (from, to) = (Place::Node(n), Place::Node(other));
+            troubles.push((20, Trouble::Link(from, to, Kind::Refused, secs(100))));
+        }
+    }
+    let (mut wants, mut undecided) = (0, 0);
+    for seed in [8, 9, 10, 11] {
+        let outcome = run(plan(seed, 150, troubles.clone()));
+        assert_eq!(judge("peers", &outcome), None);
+        assert_eq!(outcome.killed, 0);
+        wants += outcome.wants;
+        undecided += outcome.undecided;
+    }
+    assert!(wants > 8 && undecided <= 4, "{wants} {undecided}");
+}
+
+/// Controllers refuse one another and one of them loses the workers: its partition goes to one that
+/// it does not hear.
+#[test]
+fn a_controller_without_workers_hands_over_to_one_it_does_not_hear() {
+    let mut lost = 0;
+    for seed in [12, 13, 14] {
+        let mut troubles = Vec::new();
+        for n in 0..3 {
+            for other in (0..3).filter(|o| *o != n) {
+                let (from, to) = (Place::Node(n), Place::Node(other));
+                troubles.push((50, Trouble::Link(from, to, Kind::Refused, secs(70))));
+            }
+        }
+        troubles.extend(workers_of(0, 50).into_iter().map(|t| (60, t)));
+        let outcome = run(plan(seed, 160, troubles));
+        assert_eq!(judge("unheard", &outcome), None);
+        lost += outcome.killed;
+    }
+    assert_eq!(lost, 0);
+}
+
 /// A link that flaps, at periods around each timer: no role moves twice within a lease for it.
 #[test]
 fn a_flapping_link_moves_no_role_back_and_forth() {
--- a/crates/jasperhill-wire/src/record.rs
+++ b/crates/jasperhill-wire/src/record.rs
@@ -41,6 +41,10 @@
 pub fn ask_key(keeper: &Member) -> String {
     format!("jh/ask/{keeper}")
 }
+/// A job that its owner is asked to decide on, by one who does not reach it.
+pub fn want_key(id: &JobId) -> String {
+    format!("jh/want/{id}")
+}
 /// What an owner lets a keeper answer for.
 pub fn grant_key(partition: u32, keeper: &Member) -> String {
     format!("jh/grant/{partition}/{keeper}")
@@ -62,6 +66,7 @@
     Ask(Member),
     Grant(u32, Member),
     Format(Member),
+    Want(JobId),
     /// One part of the machine types.
     Types(u32),
 }
@@ -92,6 +97,7 @@
             "types" => Self::Types(name.parse().ok().filter(|n| *n > 0)?),
             "format" => Self::Format(name.into()),
             "ask" => Self::Ask(name.into()),
+            "want" => Self::Want(name.into()),
             "grant" => {
                 let (partition, keeper) = name.split_once('/')?;
                 Self::Grant(partition.parse().ok()?, keeper.into())
@@ -155,7 +161,8 @@
 pub const FORMAT: u32 = LINKS;
 /// `waits_on`, the spreading of cancellations, small blocks, asks in parts.
 pub const PIPELINES: u32 = 1;
-/// Messages about links, orders through another controller, roles taken by the owner's word.
+/// Messages about links, orders through another controller, roles taken by the owner's word, jobs
+/// put before their owner through the store.
 pub const LINKS: u32 = 2;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -193,6 +200,19 @@
     pub hosts: Vec<HostId>,
 }
 
+/// A job that is put before its owner through the store; gone with the asker's session.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WantRecord {
+    /// Who asks.
+    #[serde(rename = "b")]
+    pub by: Member,
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<JobRequest>,
+    /// Refused by the owner.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_s: Option<u32>,
+}
+
 /// The hosts that an owner lets a keeper answer for, with the tokens to show, and the ask
 /// that this answers. The owner names the tokens: another controller's mirror may have read a
 /// host's record as part of a younger block, and a token above the owner's would shut it out.
