--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -74,8 +74,11 @@
             Ok(report) => report,
             Err(refusal) => return refusal,
         };
-        let zone = LinkId::Reports(report.zone.clone());
-        self.note_link(zone, Evidence::Carried);
+        // Zones that nobody knows would be remembered without bound.
+        if self.settings.zones.contains(&report.zone) {
+            let zone = LinkId::Reports(report.zone.clone());
+            self.note_link(zone, Evidence::Carried);
+        }
         self.take_on(&report).await;
         let mine = match self.report(&report) {
             Ok(found) => found,
@@ -83,6 +86,9 @@
         };
         let host = report.host.clone();
         let Some(owner) = mine.owner else {
+            if mine.response.status != 200 {
+                return mine.response;
+            }
             let now = self.now();
             let mut state = self.state.borrow_mut();
             let lease = self.settings.lease;
--- a/crates/jasperhill-wire/tests/earlier.rs
+++ b/crates/jasperhill-wire/tests/earlier.rs
@@ -2,12 +2,12 @@
 //! by a copy of the shapes of the version before it.
 
 use jasperhill_wire::{
-    HostId, JobId, Member, Micros, Name, Resources, Token,
+    HostId, JobId, Member, Micros, Name, Resources, Revision, Token,
     cloud::{MachineType, MachineTypes},
-    mesh::{MeshAnswer, MeshRequest, VERSION, decode, encode},
+    mesh::{LinkReport, MeshAnswer, MeshRequest, Reach, VERSION, ZoneReach, decode, encode},
     record::{
-        AskRecord, GrantRecord, HostBlock, HostUse, JobRecord, Key, RecordPhase, RoleRecord,
-        SessionRecord, ask_key, ask_part, format_key, grant_key, types_key,
+        AskRecord, GrantRecord, HostBlock, HostUse, JobRecord, Key, RecordPhase, Role, RoleRecord,
+        SessionRecord, WantRecord, ask_key, ask_part, format_key, grant_key, types_key, want_key,
     },
     user::{JobRequest, Priority, Shape},
 };
@@ -248,6 +248,50 @@
     assert_eq!(encode(admit).unwrap(), sample);
 }
 
+/// What came with links, as it goes out: later versions read it, and one that does not know it
+/// answers that it does not understand, which the sender takes for not acted on.
+#[test]
+fn messages_and_records_of_links_keep_their_form() {
+    let want: WantRecord = from_value(json!({"b":"worker-1","r":request_before()})).unwrap();
+    assert_eq!(want.request.as_ref().unwrap().id.as_str(), "job-000412");
+    let refused = json!({"b":"worker-1","x":8});
+    let word: WantRecord = from_value(refused.clone()).unwrap();
+    assert_eq!(
+        (word.request.is_none(), word.retry_after_s),
+        (true, Some(8))
+    );
+    assert_eq!(to_value(&word).unwrap(), refused);
+    let id = JobId::from("job-000412");
+    assert_eq!(Key::parse(&want_key(&id)), Some(Key::Want(id)));
+    let report = LinkReport {
+        from: Member::new("worker-1"),
+        born: Micros(1_700_000_000_000_000),
+        number: 3,
+        state: Reach::Down,
+        cloud: Reach::Unknown,
+        zones: vec![ZoneReach {
+            zone: Name::new("a"),
+            reports: Reach::Up,
+            orders: Reach::Doubtful,
+            proved: Micros::from_millis(300),
+        }],
+        heard: vec![Member::new("worker-0")],
+        owners: vec![(Role::Partition(2), Member::new("worker-2"), Revision(9))],
+        let_go: vec![(Role::Leader, Revision(7))],
+    };
+    let sent = encode(MeshRequest::Links(Box::new(report.clone()))).unwrap();
+    let back: MeshRequest = decode(&sent).unwrap();
+    assert_eq!(back, MeshRequest::Links(Box::new(report)));
+    /// The requests of the version before.
+    #[derive(Debug, Deserialize)]
+    #[allow(dead_code)]
+    enum Before {
+        Relay(String),
+        IsFresh,
+    }
+    assert!(decode::<Before>(&sent).is_err());
+}
+
 fn bytes(hex: &str) -> Vec<u8> {
     let byte = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16).unwrap();
     (0..hex.len()).step_by(2).map(byte).collect()
