--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     controller::{Inner, State, evidence_of, std_time},
-    store::{Urgency, Written, guard, put},
+    store::{Urgency, Written, guard, put, put_tied},
 };
 use jasperhill_http::Response;
 use jasperhill_members::{authority::Session, view::LinkId};
@@ -298,14 +298,7 @@
                 lease,
                 hosts,
             };
-            match put(key, &record) {
-                Change::Put { key, value, .. } => Change::Put {
-                    key,
-                    value,
-                    lease: Some(lease),
-                },
-                other => other,
-            }
+            put_tied(key, &record, lease)
         };
         let guards = vec![guard(session_key(me), version)];
         let limit = Micros::from_secs(1);
--- a/crates/jasperhill-control/src/mesh.rs
+++ b/crates/jasperhill-control/src/mesh.rs
@@ -11,6 +11,14 @@
 /// A mirror heard from within this time is as good as the state service gives.
 pub(crate) const FRESH: Micros = Micros::from_secs(6);
 
+/// What a worker is to be told, on its way back through another controller.
+fn as_relayed(answer: Response) -> MeshAnswer {
+    MeshAnswer::Relayed {
+        status: answer.status,
+        body: String::from_utf8(answer.body).unwrap_or_default(),
+    }
+}
+
 impl Inner {
     /// The state service has answered this controller lately.
     fn is_served(&self) -> bool {
@@ -88,20 +96,8 @@
         let answer = match decode::<MeshRequest>(&request.body) {
             Ok(MeshRequest::Admit(job)) => self.admit(*job).await,
             Ok(MeshRequest::Counts(ids)) => self.counts(&ids),
-            Ok(MeshRequest::Relay(report)) => {
-                let answer = self.relayed(report.as_bytes()).await;
-                MeshAnswer::Relayed {
-                    status: answer.status,
-                    body: String::from_utf8(answer.body).unwrap_or_default(),
-                }
-            }
-            Ok(MeshRequest::RelayOn(report)) => {
-                let answer = self.relay_on(report.as_bytes()).await;
-                MeshAnswer::Relayed {
-                    status: answer.status,
-                    body: String::from_utf8(answer.body).unwrap_or_default(),
-                }
-            }
+            Ok(MeshRequest::Relay(report)) => as_relayed(self.relayed(report.as_bytes()).await),
+            Ok(MeshRequest::RelayOn(report)) => as_relayed(self.relay_on(report.as_bytes()).await),
             Ok(MeshRequest::Elastic { machines, ready }) => {
                 self.state.borrow_mut().elastic = Some((machines, ready, self.now()));
                 MeshAnswer::Noted
--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -144,6 +144,19 @@
     }
 }
 
+/// As `put`, gone with the lease.
+pub(crate) fn put_tied(
+    key: impl Into<String>,
+    value: &impl serde::Serialize,
+    lease: u64,
+) -> Change {
+    Change::Put {
+        key: key.into(),
+        value: serde_json::to_value(value).unwrap_or_default(),
+        lease: Some(lease),
+    }
+}
+
 impl Inner {
     /// Queues one atomic write and waits for its fate, at most until `limit` has passed
     /// before it is sent.
@@ -647,12 +660,7 @@
             lease,
             format: FORMAT,
         };
-        let value = serde_json::to_value(session).unwrap_or_default();
-        let mut changes = vec![Change::Put {
-            key: key.clone(),
-            value,
-            lease: Some(lease),
-        }];
+        let mut changes = vec![put_tied(&key, &session, lease)];
         // Outlasts the session: an earlier version that comes back in its place writes a session
         // without a format, and counts by that.
         if told != Some(FORMAT) {
--- a/crates/jasperhill-control/src/wants.rs
+++ b/crates/jasperhill-control/src/wants.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     controller::Inner,
-    store::{Urgency, Written, guard, put},
+    store::{Urgency, Written, guard, put, put_tied},
 };
 use jasperhill_members::{authority::Session, view::LinkId};
 use jasperhill_wire::{
@@ -59,14 +59,7 @@
             }
             (lease, version)
         };
-        let change = match put(want_key(&id), &record) {
-            Change::Put { key, value, .. } => Change::Put {
-                key,
-                value,
-                lease: Some(lease),
-            },
-            other => other,
-        };
+        let change = put_tied(want_key(&id), &record, lease);
         let me = session_key(&self.settings.member);
         let guards = vec![guard(me, version), guard(want_key(&id), Revision(0))];
         let done = self
--- a/crates/jasperhill-testkit/src/world.rs
+++ b/crates/jasperhill-testkit/src/world.rs
@@ -41,6 +41,24 @@
     pub old: bool,
 }
 
+impl Plan {
+    /// A small deployment with nothing but jobs of its own and these troubles.
+    pub fn small(seed: u64, seconds: u64, jobs: usize, troubles: Vec<(u64, Trouble)>) -> Self {
+        Self {
+            seed,
+            seconds,
+            jobs,
+            troubles,
+            scale: Scale::Small,
+            broken: 0,
+            guests: false,
+            pipelines: (0, 0),
+            limits: false,
+            old: false,
+        }
+    }
+}
+
 /// How large the deployment is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scale {
--- a/crates/jasperhill-testkit/tests/cluster.rs
+++ b/crates/jasperhill-testkit/tests/cluster.rs
@@ -16,18 +16,7 @@
 
 /// A small deployment for five minutes.
 fn small(seed: u64, troubles: Vec<(u64, Trouble)>) -> Plan {
-    Plan {
-        seed,
-        seconds: 300,
-        jobs: 60,
-        troubles,
-        scale: Scale::Small,
-        broken: 0,
-        guests: false,
-        pipelines: (0, 0),
-        limits: false,
-        old: false,
-    }
+    Plan::small(seed, 300, 60, troubles)
 }
 
 fn play(seed: u64, troubles: Vec<(u64, Trouble)>) -> Outcome {
--- a/crates/jasperhill-testkit/tests/links.rs
+++ b/crates/jasperhill-testkit/tests/links.rs
@@ -9,7 +9,7 @@
     Plan,
     faults::{Kind, Place, Trouble},
     run,
-    world::{Outcome, Scale},
+    world::Outcome,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use std::{
@@ -49,18 +49,7 @@
 }
 
 fn plan(seed: u64, seconds: u64, troubles: Vec<(u64, Trouble)>) -> Plan {
-    Plan {
-        seed,
-        seconds,
-        jobs: 30,
-        troubles,
-        scale: Scale::Small,
-        broken: 0,
-        guests: false,
-        pipelines: (0, 0),
-        limits: false,
-        old: false,
-    }
+    Plan::small(seed, seconds, 30, troubles)
 }
 
 fn judge(name: &str, outcome: &Outcome) -> Option<String> {
@@ -225,18 +214,21 @@
     assert_eq!(lost, 0);
 }
 
+/// Controllers refuse one another.
+fn peers_refuse(at: u64, time: u64) -> Vec<(u64, Trouble)> {
+    let peers = |(from, to): &Link| matches!((from, to), (Place::Node(_), Place::Node(_)));
+    let links = links().into_iter().filter(peers);
+    links
+        .map(|(from, to)| (at, Trouble::Link(from, to, Kind::Refused, secs(time))))
+        .collect()
+}
+
 /// Controllers refuse one another while each reaches everything else: jobs with deadlines are put
 /// before their owners through the store. Without that two of three submissions of such jobs are
 /// sent away as long as it lasts.
 #[test]
 fn jobs_with_deadlines_find_their_owner_through_the_store() {
-    let mut troubles = Vec::new();
-    for n in 0..3 {
-        for other in (0..3).filter(|o| *o != n) {
-            let (from, to) = (Place::Node(n), Place::Node(other));
-            troubles.push((20, Trouble::Link(from, to, Kind::Refused, secs(100))));
-        }
-    }
+    let troubles = peers_refuse(20, 100);
     let (mut wants, mut undecided) = (0, 0);
     for seed in [8, 9, 10, 11] {
         let outcome = run(plan(seed, 150, troubles.clone()));
@@ -254,13 +246,7 @@
 fn a_controller_without_workers_hands_over_to_one_it_does_not_hear() {
     let mut lost = 0;
     for seed in [12, 13, 14] {
-        let mut troubles = Vec::new();
-        for n in 0..3 {
-            for other in (0..3).filter(|o| *o != n) {
-                let (from, to) = (Place::Node(n), Place::Node(other));
-                troubles.push((50, Trouble::Link(from, to, Kind::Refused, secs(70))));
-            }
-        }
+        let mut troubles = peers_refuse(50, 70);
         troubles.extend(workers_of(0, 50).into_iter().map(|t| (60, t)));
         let outcome = run(plan(seed, 160, troubles));
         assert_eq!(judge("unheard", &outcome), None);
