One bound on the knowledge that a renewed lease rests on; users leave a controller cut from all

Cause, found by going through every way in which a lease is renewed: (1) an order sent straight that got no answer can be carried out minutes later, and the owner renewed the host's lease under the same token for as long as it could not raise it, also after the job was cancelled; a keeper did so under its grant. (2) A keeper's answer was a bare renewal for a task of a job it did not know. (3) The keeper's bound was a constant beside the settings. (5) A refused controller was ready again once all others lost the state service. Change: members::bounds computes the bound from lease and cancel_s, settings that leave no room are refused by name; Host::rests_on says what knowledge a start on its way rests on, and answers, grants and direct starts keep within it; keepers don't answer for unknown jobs; View::is_alone counts nobody heard as alone, and a refusal of 4 s sticks until the own link is back. A part of a finished gang that is still on the same machine stays counted, and a task that is back after its end is counted or stopped.

--- a/crates/jasperhill-control/src/controller.rs
+++ b/crates/jasperhill-control/src/controller.rs
@@ -126,6 +126,10 @@
     pub arrivals: Arrivals,
     /// The state service answers others, but not this controller.
     pub alone: bool,
+    /// Since when, if it has been so since.
+    pub alone_since: Option<Micros>,
+    /// Reports answered 200 since the state service last answered.
+    pub answered_blind: u32,
     pub pulse: Pulse,
     /// How many more machines can be had, after how long, as the leader last said, and when.
     pub elastic: Option<(u32, Micros, Micros)>,
@@ -224,6 +228,8 @@
             unmet: BTreeMap::new(),
             arrivals: Arrivals::new(now),
             alone: false,
+            alone_since: None,
+            answered_blind: 0,
             pulse: Pulse::new(now),
             elastic: None,
             redirected: BTreeMap::new(),
--- a/crates/jasperhill-control/src/keep.rs
+++ b/crates/jasperhill-control/src/keep.rs
@@ -22,7 +22,7 @@
     mesh::Reach,
     record::{AskRecord, GrantRecord, Role, ask_key, ask_part, grant_key, role_key, session_key},
     state::Change,
-    worker::{Order, Report, orders_body},
+    worker::{Order, Report, TaskPhase, TaskReport, orders_body},
 };
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::time::{sleep, timeout};
@@ -121,8 +121,6 @@
 const GRANT_WAIT: Duration = Duration::from_millis(2_200);
 /// Hosts that join soon after one another are asked for together.
 const ASK_PAUSE: Micros = Micros::from_millis(150);
-/// A cancellation older than this is known to a controller that keeps hosts.
-const FRESH: Micros = Micros::from_secs(3);
 /// An answer of another controller, or its absence, counts for so long.
 const UNREACHED_FOR: Micros = Micros::from_secs(8);
 
@@ -219,7 +217,16 @@
             return None;
         };
         // The bound on cancellations: whoever keeps a host knows what is to be stopped there.
-        if !state.authority.holds(now) || now - state.authority.fresh() > FRESH {
+        let known = state.authority.fresh();
+        if !state.authority.holds(now) || now >= self.settings.bounds.kept_until(known) {
+            return None;
+        }
+        // Guards against a bare renewal for a task of a job that is not known here: it may be
+        // cancelled as well as just accepted.
+        let unknown = |t: &TaskReport| {
+            !matches!(t.phase, TaskPhase::Exited(_)) && state.mirror.job(&t.task.job).is_none()
+        };
+        if report.tasks.iter().any(unknown) {
             return None;
         }
         let kept = state.mirror.hosts.get(&report.host)?;
@@ -366,6 +373,7 @@
             return;
         }
         let until = now + self.settings.grant();
+        let bounds = self.settings.bounds;
         let quiet = self.settings.report.scale(1.25) + Micros::from_millis(500);
         let mut grants = Vec::new();
         for (p, partition) in &mut state.partitions {
@@ -376,6 +384,11 @@
                 .filter(|h| {
                     h.reach != jasperhill_sched::Reach::Lapsed && now - h.last_heard > quiet
                 })
+                // The keeper renews under this token until then, whatever is on its way.
+                .filter(|h| {
+                    h.rests_on()
+                        .is_none_or(|known| until <= bounds.until(known))
+                })
                 .map(|h| (h.id.clone(), h.token))
                 .collect();
             if silent.is_empty() {
--- a/crates/jasperhill-control/src/links.rs
+++ b/crates/jasperhill-control/src/links.rs
@@ -50,6 +50,9 @@
 const RELAY_LIMIT: Micros = Micros::from_millis(3_200);
 const RELAY_EACH: Micros = Micros::from_millis(1_500);
 const RELAY_PAUSE: Duration = Duration::from_millis(300);
+/// A controller that the state service has refused alone for so long counts as alone until it is
+/// answered itself; shorter, it may just be the first to notice an outage.
+const STAYS_ALONE: Micros = Micros::from_secs(4);
 const PUSH_LIMIT: Micros = Micros::from_millis(1_500);
 
 /// Counts of what is being passed on.
@@ -194,6 +197,18 @@
                 self.tell_links();
             }
             self.look_for_others();
+            self.tell_answered_blind();
+        }
+    }
+
+    /// Says how many reports were answered while the state service was silent, once that is over.
+    fn tell_answered_blind(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let down = state.view.own(&LinkId::State) == Reach::Down;
+        if state.answered_blind > 0 && !(down && state.authority.holds(now)) {
+            let reports = std::mem::take(&mut state.answered_blind);
+            tracing::info!(reports, "answered without knowing more");
         }
     }
 
@@ -326,7 +341,16 @@
         let mut state = self.state.borrow_mut();
         if self.has_links(&state) {
             let down = state.view.own(&LinkId::State) == Reach::Down;
-            state.alone = down && state.view.other_served(now);
+            let alone = state.view.is_alone(now);
+            let long = state.alone_since.is_some_and(|t| now - t >= STAYS_ALONE);
+            if alone {
+                state.alone_since.get_or_insert(now);
+            } else if !(down && long) {
+                state.alone_since = None;
+            }
+            // Guards against users who are sent back to a refused controller when all others lose
+            // the state service as well: after that it answers last.
+            state.alone = down && (alone || long);
         }
     }
 
--- a/crates/jasperhill-control/src/settings.rs
+++ b/crates/jasperhill-control/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings that the platform hands over, checked, and the operators' own.
 
+use jasperhill_members::{Bounds, Terms};
 use jasperhill_sched::{SchedConfig, TeamLimits, Tuning};
 use jasperhill_wire::{Member, Micros, Name, Resources};
 use serde::Deserialize;
@@ -61,6 +62,8 @@
     pub gang_wait: Micros,
     pub gang_peer: Micros,
     pub cancel: Micros,
+    /// How old the knowledge may be that a renewal of a lease rests on.
+    pub bounds: Bounds,
     pub state_rps: f64,
     pub state_write_rps: f64,
     /// What a value may hold, now and later.
@@ -311,12 +314,14 @@
         let lease = seconds("params.workers.lease_s", w.lease_s)?;
         let cancel = seconds("params.workers.cancel_s", w.cancel_s)?;
         // Without this, tasks out of reach could not be gone in time.
-        if cancel.as_secs_f64() < lease.as_secs_f64() * 1.01 + 3.0 {
-            return bad(
-                "params.workers.cancel_s",
-                "must exceed lease_s by more than 3 seconds",
+        let bounds = Terms { lease, cancel }.bounds().or_else(|short| {
+            let least = short.least.as_secs_f64();
+            let why = format!(
+                "must be at least {least:.2} with a lease_s of {}",
+                w.lease_s
             );
-        }
+            bad("params.workers.cancel_s", why)
+        })?;
         let limits = p.state.limits()?;
         Ok(Self {
             member: Member::new(member.as_str()),
@@ -339,6 +344,7 @@
             gang_wait: seconds("params.workers.gang_wait_s", w.gang_wait_s)?,
             gang_peer: seconds("params.workers.gang_peer_s", w.gang_peer_s)?,
             cancel,
+            bounds,
             state_rps: limits.rps,
             state_write_rps: limits.write_rps,
             value_bytes: (limits.value_kb.min(64.0) * 1024.0) as usize,
@@ -383,16 +389,15 @@
     /// How old the mirror may be while there is authority: a cancellation that is not seen
     /// must stop the renewal of leases soon enough for the tasks to be gone by `cancel_s`.
     pub fn watch_age_max(&self) -> Micros {
-        let margin = self.lease.scale(0.005) + Micros::from_millis(1_500);
-        (self.cancel - self.lease - margin).min(self.lease)
+        self.bounds.owner()
     }
 
-    /// The session's time: long enough to ride out short outages, short enough for a takeover
-    /// before the workers' leases lapse.
     /// Quick ends in a row after which a controller leaves its roles to others; 0: never.
     pub fn restless_after(&self) -> u32 {
         self.own.restless_after.unwrap_or(RESTLESS_AFTER)
     }
+    /// The session's time: long enough to ride out short outages, short enough for a takeover
+    /// before the workers' leases lapse.
     pub fn session(&self) -> Micros {
         let derived = self.lease.scale(0.5).min(self.watch_age_max());
         let wanted = self.own.session.unwrap_or(derived);
--- a/crates/jasperhill-control/src/store.rs
+++ b/crates/jasperhill-control/src/store.rs
@@ -111,6 +111,8 @@
 /// the rest is for writes and leases.
 const WATCH_SHARE: f64 = 0.3;
 const BARRIER_SHARE: f64 = 0.35;
+/// How long a watch waits for a change, at most.
+const WATCH_BLOCK: Micros = Micros::from_secs(4);
 /// The pauses after each try to list one page.
 const PAGE_PAUSES: [Micros; 4] = [
     Micros::from_millis(100),
@@ -453,8 +455,13 @@
                 // Asks for an answer at once while none comes: a watch that waits would show only
                 // late that the link is back.
                 let down = self.state.borrow().view.own(&LinkId::State) == Reach::Down;
-                let block = if down { 0 } else { 4 };
-                self.watch(after, Micros::from_secs(block)).await
+                let block = if down {
+                    Micros::ZERO
+                } else {
+                    // Well within what authority may rest on, or quiet alone would cost it.
+                    WATCH_BLOCK.min(self.settings.bounds.owner().scale(0.25))
+                };
+                self.watch(after, block).await
             };
             if !fine {
                 sleep(Duration::from_millis(200)).await;
--- a/crates/jasperhill-control/src/workers.rs
+++ b/crates/jasperhill-control/src/workers.rs
@@ -335,17 +335,23 @@
         }
         partition.on_report(report, Source::Hello, now);
         let orders = partition.orders(&host);
-        let Some(token) = partition.hosts.get(&host).map(|h| h.token) else {
+        let Some((token, rests_on)) = partition.hosts.get(&host).map(|h| (h.token, h.rests_on()))
+        else {
             return Err(unavailable());
         };
         // Asked again: this answer renews a lease and carries orders.
-        if !state.authority.holds(self.now()) {
+        let now = self.now();
+        if !state.authority.holds(now)
+            || rests_on.is_some_and(|known| now >= self.settings.bounds.until(known))
+        {
             return Err(unavailable());
         }
         partition.apply(&host, HostInput::Answered(&orders), now);
         if partition.changed {
             self.wake_pass.notify_one();
         }
+        let blind = state.view.own(&LinkId::State) == mesh::Reach::Down;
+        state.answered_blind += u32::from(blind);
         let turns = state.window.apply(window::Input::Heard((p, host)), now);
         drop(guarded);
         self.send(turns);
@@ -555,6 +561,12 @@
             .filter(|part| part.since == since)?;
         let orders = partition.orders(id);
         let host = partition.hosts.get(id)?;
+        let known = state.authority.fresh();
+        // Guards against a start that is carried out late under a lease that a keeper renews, after
+        // its job was cancelled: see `Host::rests_on`.
+        if host.last_answer > self.settings.bounds.until(known) {
+            return None;
+        }
         let (tenure, token) = (host.tenure?, host.token);
         let pressing = orders.iter().any(|o| !matches!(o, Order::Forget(..)));
         let unfenced = matches!(host.reach, Reach::Unfenced { .. });
@@ -563,7 +575,7 @@
         }
         let body = orders_body(token, Some(tenure), &orders);
         let count = orders.len();
-        partition.apply(id, HostInput::DirectSent(orders), now);
+        partition.apply(id, HostInput::DirectSent(orders, known), now);
         Some((body, count))
     }
 
--- a/crates/jasperhill-members/src/lib.rs
+++ b/crates/jasperhill-members/src/lib.rs
@@ -2,12 +2,14 @@
 //! links, and who should hold which role. The time is passed in; what follows from a decision is done by the controller.
 
 pub mod authority;
+pub mod bounds;
 pub mod link;
 pub mod lives;
 pub mod roles;
 pub mod view;
 
 pub use authority::{Authority, Session};
+pub use bounds::{Bounds, Terms};
 pub use lives::Lives;
 pub use roles::{Roles, Seat, Step};
 pub use view::{LinkId, View};
--- a/crates/jasperhill-members/src/view.rs
+++ b/crates/jasperhill-members/src/view.rs
@@ -281,6 +281,16 @@
             .any(|m| self.is_served(m, now) == Reach::Up)
     }
 
+    /// The state service does not answer here, and does elsewhere, as far as can be told: somebody
+    /// says so, or nobody is heard any more. Guards against users who hold on to a controller that
+    /// has lost the state service and all others, and get no answer for as long as that lasts. In an
+    /// outage that everybody sees, others are heard and say so.
+    pub fn is_alone(&self, now: Micros) -> bool {
+        let nobody =
+            !self.peers.is_empty() && self.peers.iter().all(|m| self.said(m, now).is_none());
+        self.own(&LinkId::State) == Reach::Down && (nobody || self.other_served(now))
+    }
+
     /// Reports that come in, and orders that go out, between a member and a zone's workers.
     pub fn directions(&self, member: &Member, zone: &Name, now: Micros) -> (Reach, Reach) {
         if *member == self.me {
--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -85,6 +85,21 @@
     }
 }
 
+/// Starts that are on their way, or may be.
+#[derive(Clone, Debug)]
+struct Flight {
+    starts: Vec<(TaskId, Attempt)>,
+    under: Under,
+}
+
+/// What a start was sent under.
+#[derive(Clone, Copy, Debug)]
+struct Under {
+    token: Token,
+    /// As of when whoever sent it knew of cancellations.
+    known: Micros,
+}
+
 /// Orders sent directly whose fate is unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Doubt {
@@ -102,8 +117,8 @@
     Answered(&'a [Order]),
     /// Another controller may answer its reports until then.
     Kept(Micros),
-    /// Orders go out directly.
-    DirectSent(Vec<Order>),
+    /// Orders go out directly; what is known of the store, and so of cancellations, is as of then.
+    DirectSent(Vec<Order>, Micros),
     /// The direct orders were executed, or surely were not (their report comes separately).
     DirectSettled,
     /// No answer: they may be executed at any time.
@@ -151,7 +166,9 @@
     stale: BTreeSet<(TaskId, Attempt)>,
     doubt: Doubt,
     doubted: BTreeSet<(TaskId, Attempt)>,
-    flight: Option<Vec<(TaskId, Attempt)>>,
+    /// What they were sent under.
+    doubt_under: Option<Under>,
+    flight: Option<Flight>,
     pub last_heard: Micros,
     /// The last moment at which anyone can have renewed its lease.
     pub last_answer: Micros,
@@ -205,6 +222,7 @@
             stale: BTreeSet::new(),
             doubt: Doubt::None,
             doubted: BTreeSet::new(),
+            doubt_under: None,
             flight: None,
             last_heard: now,
             last_answer: now,
@@ -349,7 +367,25 @@
     /// Whether a direct `run` of this attempt may still be executed.
     fn may_start_later(&self, task: &TaskId, attempt: Attempt) -> bool {
         let key = (task.clone(), attempt);
-        self.doubted.contains(&key) || self.flight.as_ref().is_some_and(|f| f.contains(&key))
+        self.doubted.contains(&key)
+            || self
+                .flight
+                .as_ref()
+                .is_some_and(|f| f.starts.contains(&key))
+    }
+
+    /// As of when cancellations were known to whoever sent starts that may still be carried out
+    /// under the present token. Guards against leases that are renewed for as long as such a start
+    /// is on its way: its job may be cancelled meanwhile, and it would begin however much later.
+    /// `None`: nothing is under way, or an answer raises the token above it.
+    pub fn rests_on(&self) -> Option<Micros> {
+        let flight = self.flight.as_ref().filter(|f| !f.starts.is_empty());
+        let under = [flight.map(|f| f.under), self.doubt_under];
+        let present = under
+            .into_iter()
+            .flatten()
+            .filter(|u| u.token >= self.token);
+        present.map(|u| u.known).min()
     }
 
     /// All outstanding orders. Level-triggered: repeated until the reports show the effect.
@@ -397,20 +433,25 @@
                 }
             }
             HostInput::Kept(until) => self.last_answer = self.last_answer.max(until),
-            HostInput::DirectSent(orders) => {
+            HostInput::DirectSent(orders, known) => {
                 let starts = orders.into_iter().filter_map(|o| match o {
                     Order::Start(task, attempt) => Some((task, attempt)),
                     _ => None,
                 });
-                self.flight = Some(starts.collect());
+                let token = self.token;
+                self.flight = Some(Flight {
+                    starts: starts.collect(),
+                    under: Under { token, known },
+                });
             }
             HostInput::DirectSettled => self.flight = None,
             HostInput::DirectUnanswered => {
                 if let Some(flight) = self.flight.take()
-                    && !flight.is_empty()
+                    && !flight.starts.is_empty()
                     && self.reach != Reach::Lapsed
                 {
-                    self.doubted.extend(flight);
+                    self.doubted.extend(flight.starts);
+                    self.doubt_under = Some(flight.under);
                     self.doubt = Doubt::NeedsToken;
                 }
             }
@@ -482,6 +523,7 @@
         // Late direct orders carry the old tenure and die at the worker.
         self.doubt = Doubt::None;
         self.doubted.clear();
+        self.doubt_under = None;
     }
 
     fn on_report(
@@ -516,6 +558,7 @@
         {
             self.doubt = Doubt::None;
             self.doubted.clear();
+            self.doubt_under = None;
         }
         if report.token > self.token && self.doubt == Doubt::None {
             // Orders with our token are dropped there, and our answers renew no lease: the
@@ -594,7 +637,13 @@
                 if state == TaskState::Running && t.running.is_none() {
                     t.running = Some(now);
                 }
-                if let (true, TaskState::Exited(cause)) = (was_on, state) {
+                if !was_on && !matches!(state, TaskState::Exited(_)) {
+                    // Guards against a task that is back after its end, as by a late order, and that
+                    // nobody counts or stops.
+                    t.stopping = None;
+                    out.push(HostOutput::Found(item.task.clone(), item.attempt));
+                    self.idle_since = None;
+                } else if let (true, TaskState::Exited(cause)) = (was_on, state) {
                     out.push(HostOutput::Ended(item.task.clone(), Some(cause)));
                 } else if state == TaskState::Running && was != state {
                     out.push(HostOutput::Running(item.task.clone()));
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -396,9 +396,15 @@
                     .get(&task.job)
                     .and_then(|j| j.live.get(&i))
                     .cloned();
+                // Guards against a part that is dropped from the account while it is still there, and
+                // then neither counted nor stopped: its machine may be this one.
+                let still = |host: &HostId| {
+                    let there = self.hosts.get(host).and_then(|h| h.tasks.get(&task));
+                    host != id || there.is_some_and(|t| t.is_on())
+                };
                 match live {
                     // Still on its machine until it says otherwise.
-                    Some(host) if &host != id => {
+                    Some(host) if still(&host) => {
                         if let Some(job) = self.jobs.get_mut(&task.job) {
                             job.unsaved.insert(i);
                         }
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -89,7 +89,7 @@
     let mut host = host();
     start(&mut host, 0, 7);
     let orders = host.orders(|_, _| true);
-    host.apply(HostInput::DirectSent(orders), NOW);
+    host.apply(HostInput::DirectSent(orders, NOW), NOW);
     host.apply(HostInput::DirectUnanswered, NOW);
     assert!(host.needs_token());
     let exited = vec![seen(0, 7, TaskPhase::Exited(Cause::Done))];
@@ -574,7 +574,7 @@
                     let orders = host.orders(|_, _| true);
                     unsettled = orders.iter().filter(|o| matches!(o, Order::Start(..)))
                         .map(|o| (o.key().0.clone(), o.key().1)).collect();
-                    host.apply(HostInput::DirectSent(orders), NOW);
+                    host.apply(HostInput::DirectSent(orders, NOW), NOW);
                 }
                 Step::Settle => { unsettled.clear(); host.apply(HostInput::DirectSettled, NOW); }
                 Step::Lose => {
@@ -879,3 +879,108 @@
     assert_eq!(slow(&[10], false), (false, false));
     assert_eq!(slow(&[10, 10, 10], true), (false, false));
 }
+
+#[derive(Clone, Debug)]
+enum Word {
+    /// A report of one of two hosts: how much newer than its last one (none: a copy of an old one),
+    /// whether in a new session, and what runs: job, task, attempt, phase.
+    Report(usize, u64, bool, Vec<(usize, u32, u64, u8)>),
+    End(usize, bool),
+    Pass,
+    Answer(usize),
+}
+
+fn word() -> impl Strategy<Value = Word> {
+    let ran = proptest::collection::vec((0usize..4, 0u32..3, 1u64..4, 0u8..5), 0..5);
+    prop_oneof![
+        5 => (0usize..2, 0u64..3, proptest::bool::weighted(0.1), ran)
+            .prop_map(|(host, newer, session, ran)| Word::Report(host, newer, session, ran)),
+        1 => (0usize..3, any::<bool>()).prop_map(|(job, done)| Word::End(job, done)),
+        2 => Just(Word::Pass),
+        2 => (0usize..2).prop_map(Word::Answer),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 600,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(39),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever a worker says that it runs, in whatever order it is heard: an answer that renews its
+    /// lease stops what is cancelled, done, unknown or counted elsewhere. Never a bare renewal.
+    #[test]
+    fn no_answer_leaves_running_what_should_not_be(
+        at_takeover in any::<bool>(),
+        words in proptest::collection::vec(word(), 1..50),
+    ) {
+        let mut part = partition(2, at_takeover);
+        let jobs = ["job-1", "job-2", "job-3", "job-unknown"];
+        for (n, shape) in ["array", "ensemble", "daemon"].into_iter().enumerate() {
+            let request = request(jobs[n], shape, 2, 0.0, None);
+            part.upsert_job(&request, Revision(0), NOW, &[], (0, NOW));
+        }
+        let mut newest = [(1, 1), (1, 1)];
+        let mut told: [Vec<TaskReport>; 2] = [vec![], vec![]];
+        for word in words {
+            match word {
+                Word::Report(h, newer, session, ran) => {
+                    let (mut tenure, mut counter) = newest[h];
+                    tenure += u64::from(session);
+                    counter += newer;
+                    let mut tasks: BTreeMap<TaskId, TaskReport> = BTreeMap::new();
+                    for (job, index, attempt, phase) in ran {
+                        let task = TaskId::new(&JobId::new(jobs[job]), index);
+                        // What we ordered there, as likely as not.
+                        let ours = part.hosts[&HostId::new(&format!("n-{}", h + 1))].tasks.get(&task);
+                        let attempt = match ours {
+                            Some(t) if attempt != 1 => t.attempt,
+                            _ => Attempt(attempt),
+                        };
+                        let phase = match phase {
+                            0 => TaskPhase::Fetching,
+                            1 => TaskPhase::Waiting,
+                            2 => TaskPhase::Running,
+                            3 => TaskPhase::Saving,
+                            _ => TaskPhase::Exited(Cause::Done),
+                        };
+                        tasks.insert(task.clone(), TaskReport { task, attempt, phase });
+                    }
+                    let tasks: Vec<TaskReport> = tasks.into_values().collect();
+                    let host = format!("n-{}", h + 1);
+                    let said = report(&host, tenure, counter, 5, tasks.clone());
+                    part.on_report(&said, Source::Hello, NOW);
+                    if (tenure, counter) > newest[h] {
+                        newest[h] = (tenure, counter);
+                        told[h] = tasks;
+                    }
+                }
+                Word::End(job, done) => {
+                    let ending = if done { Ending::Done } else { Ending::Cancelled };
+                    part.end_job(&JobId::new(jobs[job]), ending, NOW);
+                }
+                Word::Pass => part.pass(NOW),
+                Word::Answer(h) => {
+                    let host = HostId::new(&format!("n-{}", h + 1));
+                    let orders = part.orders(&host);
+                    part.apply(&host, HostInput::Answered(&orders), NOW);
+                }
+            }
+            for (h, tasks) in told.iter().enumerate() {
+                let host = HostId::new(&format!("n-{}", h + 1));
+                let orders = part.orders(&host);
+                for t in tasks.iter().filter(|t| !matches!(t.phase, TaskPhase::Exited(_))) {
+                    let counted = part.jobs.get(&t.task.job).is_some_and(|j| {
+                        j.ending.is_none() && j.live.get(&t.task.index) == Some(&host)
+                    });
+                    let stopped = orders.iter().any(|o| {
+                        matches!(o, Order::Stop(task, attempt, _) if *task == t.task && *attempt == t.attempt)
+                    });
+                    prop_assert!(counted || stopped, "{t:?} on {host}: {orders:?}");
+                }
+            }
+        }
+    }
+}
