A machine that does not hear gets no work until it shows that it does

Cause: reports of a deaf machine arrive, answers and orders are lost. Change: a session that ends within half a lease of our answer to one of its reports shows a machine that does not hear; its record is rewritten, and it is usable once it shows that token. Leases that ran out because nobody answered are no such evidence.

--- a/crates/jasperhill-sched/src/host.rs
+++ b/crates/jasperhill-sched/src/host.rs
@@ -125,6 +125,8 @@
     DirectUnanswered,
     /// The record was rewritten.
     TokenRaised(Token),
+    /// It has begun a new session although its reports were answered: it does not hear.
+    Deaf,
     /// The lease has surely lapsed, or the machine is gone.
     Gone,
     /// Start this task, which takes this much and needs this image.
@@ -172,6 +174,8 @@
     pub last_heard: Micros,
     /// The last moment at which anyone can have renewed its lease.
     pub last_answer: Micros,
+    /// When a report of it was last answered here.
+    pub answered: Option<Micros>,
     pub notice: Option<Micros>,
     /// Images seen there, the most recent last.
     pub images: Vec<(Name, f64)>,
@@ -226,6 +230,7 @@
             flight: None,
             last_heard: now,
             last_answer: now,
+            answered: None,
             notice: None,
             images: Vec::new(),
             queue: Vec::new(),
@@ -423,6 +428,7 @@
             HostInput::Report(report, source) => self.on_report(report, source, now, &mut out),
             HostInput::Answered(orders) => {
                 self.last_answer = self.last_answer.max(now);
+                self.answered = Some(now);
                 for order in orders {
                     if let Order::Start(task, attempt) = order
                         && let Some(t) = self.tasks.get_mut(task)
@@ -463,6 +469,10 @@
                     }
                 }
             }
+            // Guards against a machine that is given new work in each of its sessions and hears of
+            // none: it gets some again once it shows a token that it can only have heard now.
+            HostInput::Deaf if self.doubt == Doubt::None => self.doubt = Doubt::NeedsToken,
+            HostInput::Deaf => {}
             HostInput::Gone => {
                 self.drop_all(&mut out);
                 self.reach = Reach::Lapsed;
--- a/crates/jasperhill-sched/src/partition.rs
+++ b/crates/jasperhill-sched/src/partition.rs
@@ -293,7 +293,15 @@
     }
 
     pub fn on_report(&mut self, report: &Report, source: Source, now: Micros) {
+        let before = self.hosts.get(&report.host).map(|h| (h.tenure, h.answered));
         self.apply(&report.host, HostInput::Report(report, source), now);
+        // Whoever ends a session has heard nothing for a whole lease.
+        if let Some((Some(tenure), Some(answered))) = before
+            && self.hosts.get(&report.host).and_then(|h| h.tenure) > Some(tenure)
+            && now - answered < self.config.lease.scale(0.5)
+        {
+            self.apply(&report.host, HostInput::Deaf, now);
+        }
     }
 
     /// Feeds a host and carries its outputs over to the jobs.
--- a/crates/jasperhill-sched/tests/machines.rs
+++ b/crates/jasperhill-sched/tests/machines.rs
@@ -880,6 +880,40 @@
     assert_eq!(slow(&[10, 10, 10], true), (false, false));
 }
 
+/// Guards against a machine whose reports arrive and that hears nothing: it would get new work in
+/// each of its sessions, which a lease later would begin elsewhere.
+#[test]
+fn a_machine_that_does_not_hear_gets_no_work_until_it_does() {
+    let id = HostId::new("n-1");
+    let usable = |part: &Partition, at: Micros| part.hosts[&id].is_usable(at, &config());
+    let secs = Micros::from_secs;
+    let heard = |part: &mut Partition, tenure, counter, token, at| {
+        part.on_report(
+            &report("n-1", tenure, counter, token, vec![]),
+            Source::Hello,
+            at,
+        );
+        part.apply(&id, HostInput::Answered(&[]), at);
+    };
+    let mut part = partition(1, false);
+    // Its lease ran out, and so did ours with it: nobody had answered. It hears as ever.
+    heard(&mut part, 1, 2, 5, NOW);
+    heard(&mut part, 2, 3, 5, NOW + secs(17));
+    assert!(usable(&part, NOW + secs(17)));
+    // Answered every three seconds, and a new session all the same.
+    for n in 0..6 {
+        heard(&mut part, 2, 4 + n, 5, NOW + secs(20 + 3 * n));
+    }
+    let later = NOW + secs(38);
+    heard(&mut part, 3, 20, 5, later);
+    assert!(!usable(&part, later) && part.hosts[&id].needs_token());
+    part.apply(&id, HostInput::TokenRaised(Token(9)), later);
+    heard(&mut part, 3, 21, 5, later);
+    assert!(!usable(&part, later));
+    heard(&mut part, 3, 22, 9, later);
+    assert!(usable(&part, later));
+}
+
 #[derive(Clone, Debug)]
 enum Word {
     /// A report of one of two hosts: how much newer than its last one (none: a copy of an old one),
