--- a/crates/jasperhill-scheduler/tests/machines/main.rs
+++ b/crates/jasperhill-scheduler/tests/machines/main.rs
@@ -6,3 +6,4 @@
 mod placement;
 mod support;
 mod takeover;
+mod team_limits;
