Scheduler: a gang keeps its part of its team's limit; sizes of jobs don't starve; what waits is logged

Cause, by the new log line 'jobs that wait': gangs wait with reason TeamLimit, for up to 252 s. Arrays of the same team take each part of the limit that becomes free, and the starvation guard looks at no job that waits for its own team's limit.

Change: the first gang in the order that waits for the limit, or for hosts that it keeps free, reserves its part for the rest of the cycle, if the hosts could hold it at all. The guard counts a job at the limit for its class or size if others have more than an equal part of the limit; jobs of about the same size are a group of their own, so that small ones of a class don't stand in for its large ones.

--- a/crates/jasperhill-controller/src/connections.rs
+++ b/crates/jasperhill-controller/src/connections.rs
@@ -46,6 +46,7 @@
                 usage_logged_at = now;
                 self.log_connection_usage();
                 self.log_starvation();
+                self.log_waiting_jobs();
             }
         }
     }
--- a/crates/jasperhill-controller/src/scheduling/mod.rs
+++ b/crates/jasperhill-controller/src/scheduling/mod.rs
@@ -4,6 +4,7 @@
 
 mod cache_changes;
 pub mod state;
+mod waiting;
 
 use crate::{
     clock::to_duration,
--- a/crates/jasperhill-scheduler/src/cycle/context.rs
+++ b/crates/jasperhill-scheduler/src/cycle/context.rs
@@ -1,7 +1,8 @@
 //! What a scheduling cycle keeps track of.
 
 use crate::{
-    host::LISTED_MAX, job::Job, partition::UnconfirmedTasks, schedule_simulation::Occupied,
+    cycle::team_quota::QuotaReservation, host::LISTED_MAX, job::Job, partition::UnconfirmedTasks,
+    schedule_simulation::Occupied,
 };
 use jasperhill_wire::{
     HostId, JobId, Micros, Name, Resources, TaskId,
@@ -77,6 +78,8 @@
     pub slots: Vec<HostSlot>,
     /// What teams may be using unseen.
     pub(super) unconfirmed_use: BTreeMap<Name, Resources>,
+    /// What of their limits teams keep for a waiting gang; by team.
+    pub(super) quota_reservations: BTreeMap<Name, QuotaReservation>,
     /// Amounts for which no host has room. Room only shrinks during a cycle, so these stay
     /// true: what waits behind a full fleet costs one comparison, not a look at every host.
     pub(super) infeasible: Vec<Resources>,
--- a/crates/jasperhill-scheduler/src/cycle/gang.rs
+++ b/crates/jasperhill-scheduler/src/cycle/gang.rs
@@ -26,6 +26,9 @@
             return;
         }
         if !self.may_start(cycle, &request, u64::from(request.tasks)) {
+            if !job.failures.is_backing_off() {
+                self.reserve_quota(cycle, job);
+            }
             return;
         }
         let mut best: Option<(u64, Vec<usize>)> = None;
@@ -215,6 +218,7 @@
         if job.preempting.is_empty() && !self.may_reserve_for_gang(cycle, &job.request) {
             return;
         }
+        self.reserve_quota(cycle, job);
         cycle.reserved_for_gangs.0 += 1;
         cycle.reserved_for_gangs.1 += kept.hosts.len();
         for host in &kept.hosts {
--- a/crates/jasperhill-scheduler/src/cycle/mod.rs
+++ b/crates/jasperhill-scheduler/src/cycle/mod.rs
@@ -9,20 +9,19 @@
 pub(crate) mod placement;
 mod preemption;
 mod straggler_detection;
+pub(crate) mod team_quota;
 #[cfg(test)]
 mod tests;
 
 use crate::{
     cycle::context::{Cycle, HostSlot},
+    cycle::team_quota::LimitUsage,
     host::{Host, HostInput},
     job::{Job, JobRank, Readiness, TaskStep},
     partition::{Event, Partition},
-    starvation::{self, WaitingJob},
-};
-use jasperhill_wire::{
-    Attempt, JobId, Micros, Name, Resources, TaskId,
-    user::{JobRequest, Shape},
+    starvation::{self, Group, WaitingJob},
 };
+use jasperhill_wire::{Attempt, JobId, Micros, Name, Resources, TaskId, user::Shape};
 use std::{cell::RefCell, collections::BTreeMap};
 
 /// Events kept in one cycle; beyond, the log would say nothing more.
@@ -58,6 +57,7 @@
             victims: RefCell::default(),
             slots,
             unconfirmed_use,
+            quota_reservations: BTreeMap::new(),
             infeasible: Vec::new(),
             gangs_without_hosts: Vec::new(),
             gangs_without_victims: Vec::new(),
@@ -153,23 +153,11 @@
         if !self.starvation.is_due(cycle.now) {
             return;
         }
+        let usage = self.limit_usage();
         let jobs = order.iter().filter_map(|(_, id)| self.jobs.get(id));
-        // Who waits for its team's own limit is not behind others.
-        let could = |j: &&Job| {
-            let tasks = if j.is_gang() { j.request.tasks } else { 1 };
-            j.live.is_empty()
-                && !j.failures.is_backing_off()
-                && self.may_start(cycle, &j.request, u64::from(tasks))
-        };
-        let idle = jobs.filter(could);
-        let waiting: Vec<WaitingJob<'_>> = idle
-            .map(|j| WaitingJob {
-                id: &j.request.id,
-                class: &j.request.class,
-                team: &j.request.team,
-                since: j.submitted.max(j.last_started),
-                within: self.config.longest_start_delay(&j.request.class),
-            })
+        let waiting: Vec<WaitingJob<'_>> = jobs
+            .filter(|job| job.live.is_empty() && !job.failures.is_backing_off())
+            .filter_map(|job| self.waiting_job(cycle, &usage, job))
             .collect();
         let least = self.config.tuning.least_share;
         let was = self.starvation.starved(least);
@@ -186,6 +174,28 @@
             .extend(caught_up.map(|g| Event::Starved(g, None)));
     }
 
+    /// A waiting job as the starvation guard counts it. One at its team's limit counts only for its
+    /// class, or for jobs of its size, where the others of the team have more than their part.
+    fn waiting_job<'a>(
+        &self,
+        cycle: &Cycle,
+        usage: &LimitUsage,
+        job: &'a Job,
+    ) -> Option<WaitingJob<'a>> {
+        let request = &job.request;
+        let team = self.config.team(&request.team)?;
+        let mut groups = Group::all_of(&request.class, &request.team, request.tasks).to_vec();
+        if !self.may_start(cycle, request, job.tasks_to_begin()) {
+            groups.retain(|group| usage.is_below_equal_part(team, group));
+        }
+        Some(WaitingJob {
+            id: &request.id,
+            groups,
+            since: job.waiting_since(),
+            within: self.config.longest_start_delay(&request.class),
+        })
+    }
+
     /// A gang that has lost a task stops the rest; a new attempt waits for the last of them.
     fn stop_broken_gangs(&mut self, now: Micros) {
         let unconfirmed = self.unconfirmed_tasks();
@@ -243,29 +253,6 @@
         }
     }
 
-    /// So many more tasks may start or be reserved: all that the job needs is done, and its team
-    /// stays within its limit.
-    pub(crate) fn may_start(&self, cycle: &Cycle, request: &JobRequest, tasks: u64) -> bool {
-        let open = |j: &Job| j.readiness == Readiness::Open;
-        if !self.jobs.get(&request.id).is_some_and(open) {
-            return false;
-        }
-        let Some(team) = self.config.team(&request.team) else {
-            return false;
-        };
-        let used = self
-            .used_by_team
-            .get(&request.team)
-            .copied()
-            .unwrap_or_default();
-        let unseen = cycle
-            .unconfirmed_use
-            .get(&request.team)
-            .copied()
-            .unwrap_or_default();
-        team.allows(&(used + unseen + request.each.times(tasks)))
-    }
-
     /// Starts task `i` of a job on the host of this slot. `attempt`: a gang's; a new one if absent.
     pub(crate) fn start(
         &mut self,
@@ -287,9 +274,13 @@
         }
         let request = job.request.clone();
         if job.live.is_empty() {
-            let (class, team) = (&request.class, &request.team);
             let least = self.config.tuning.least_share;
-            let begun = starvation::Input::Begun { id, class, team };
+            let begun = starvation::Input::Begun {
+                id,
+                class: &request.class,
+                team: &request.team,
+                tasks: request.tasks,
+            };
             self.starvation.apply(begun, least, cycle.now);
         }
         job.last_started = cycle.now;
--- /dev/null
+++ b/crates/jasperhill-scheduler/src/cycle/team_quota.rs
@@ -0,0 +1,137 @@
+//! Team limits in a cycle: who may start more, and what of a limit is reserved for a gang that waits
+//! for its part of it.
+//!
+//! A gang needs its whole part at once, while other work of its team takes whatever becomes free,
+//! task by task. Without a reservation a team that is kept at its limit by arrays starts no gang.
+
+use crate::{
+    config::TeamLimits,
+    cycle::context::Cycle,
+    job::{Job, Readiness},
+    partition::Partition,
+    starvation::Group,
+};
+use jasperhill_wire::{JobId, Name, Resources, user::JobRequest};
+use std::collections::BTreeMap;
+
+/// The part of a team's limit that is kept for a waiting gang for the rest of a cycle.
+pub(crate) struct QuotaReservation {
+    /// The gang.
+    pub job: JobId,
+    /// All of its tasks together.
+    pub resources: Resources,
+}
+
+/// What the classes of a team, and the sizes of jobs within them, use of the team's limit.
+#[derive(Default)]
+pub(crate) struct LimitUsage {
+    /// By team and group; nothing for a group that only waits.
+    used: BTreeMap<(Name, Group), Resources>,
+}
+
+impl LimitUsage {
+    fn add(&mut self, job: &Job) {
+        let request = &job.request;
+        let used = request.each.times(job.live.len() as u64);
+        for group in Group::all_of(&request.class, &request.team, request.tasks) {
+            *self.used.entry((request.team.clone(), group)).or_default() += used;
+        }
+    }
+
+    /// This class or size of jobs uses less of its team's limit than an equal part for each that has
+    /// work: it waits for others, although the limit is its own team's.
+    pub fn is_below_equal_part(&self, team: &TeamLimits, group: &Group) -> bool {
+        let is_alike = |other: &Group| match (group, other) {
+            (Group::Class(_), Group::Class(_)) => true,
+            (Group::Size(class, _), Group::Size(other, _)) => class == other,
+            _ => false,
+        };
+        let of_team = self.used.iter().filter(|((name, _), _)| name == &team.name);
+        let alike: Vec<_> = of_team.filter(|((_, other), _)| is_alike(other)).collect();
+        let mut all = Resources::default();
+        for (_, used) in &alike {
+            all += **used;
+        }
+        // Sizes share what their class has, classes what the team may have.
+        let whole = if matches!(group, Group::Class(_)) {
+            team.limit
+        } else {
+            all
+        };
+        let own = self.used.get(&(team.name.clone(), group.clone()));
+        let own = own.copied().unwrap_or_default().share_of(&whole);
+        !alike.is_empty() && own * (alike.len() as f64) < 1.0
+    }
+}
+
+impl Partition {
+    /// So many more tasks may start or be reserved: all that the job needs is done, and its team
+    /// stays within its limit, of which nothing is taken that is reserved for another job.
+    pub(crate) fn may_start(&self, cycle: &Cycle, request: &JobRequest, tasks: u64) -> bool {
+        let is_open = |job: &Job| job.readiness == Readiness::Open;
+        if !self.jobs.get(&request.id).is_some_and(is_open) {
+            return false;
+        }
+        let Some(team) = self.config.team(&request.team) else {
+            return false;
+        };
+        let used = self.used_by_team.get(&request.team).copied();
+        let unseen = cycle.unconfirmed_use.get(&request.team).copied();
+        let reserved = cycle.quota_reservations.get(&request.team);
+        let reserved = reserved.filter(|reservation| reservation.job != request.id);
+        let mut wanted = request.each.times(tasks);
+        wanted += used.unwrap_or_default();
+        wanted += unseen.unwrap_or_default();
+        wanted += reserved.map(|r| r.resources).unwrap_or_default();
+        team.allows(&wanted)
+    }
+
+    /// Reserves a gang's part of its team's limit for the rest of the cycle, if no gang before it
+    /// in the order has done so, and if there are hosts that could take it.
+    pub(crate) fn reserve_quota(&self, cycle: &mut Cycle, job: &Job) {
+        let request = &job.request;
+        if cycle.quota_reservations.contains_key(&request.team)
+            || !self.has_hosts_for_whole(cycle, job)
+        {
+            return;
+        }
+        let reservation = QuotaReservation {
+            job: request.id.clone(),
+            resources: request.each.times(u64::from(request.tasks)),
+        };
+        cycle
+            .quota_reservations
+            .insert(request.team.clone(), reservation);
+    }
+
+    /// The hosts would suffice for all tasks of this gang if nothing else ran there.
+    fn has_hosts_for_whole(&self, cycle: &Cycle, job: &Job) -> bool {
+        let request = &job.request;
+        let mut by_zone: BTreeMap<&Name, u64> = BTreeMap::new();
+        for (_, slot, host) in self.with_slots(cycle) {
+            if slot.usable && Self::is_feasible(job, host) {
+                let places = request.each.count_in(&host.spec.capacity);
+                let known = by_zone.entry(&host.zone).or_default();
+                *known = known.saturating_add(places);
+            }
+        }
+        let usable = |places: &u64| (*places).min(u64::from(request.zone_cap()));
+        let places = by_zone.values().map(usable);
+        let found = if request.one_zone {
+            places.max().unwrap_or(0)
+        } else {
+            places.sum()
+        };
+        found >= u64::from(request.tasks)
+    }
+
+    /// What classes and sizes of jobs use of their teams' limits.
+    pub(crate) fn limit_usage(&self) -> LimitUsage {
+        let mut usage = LimitUsage::default();
+        let jobs = self.jobs.values();
+        for job in jobs.filter(|job| job.termination.is_none() || !job.live.is_empty()) {
+            usage.add(job);
+        }
+        usage
+    }
+}
--- a/crates/jasperhill-scheduler/src/job.rs
+++ b/crates/jasperhill-scheduler/src/job.rs
@@ -299,6 +299,25 @@
         }
     }
 
+    /// Nothing of it runs, although nothing has ended it.
+    pub fn is_waiting(&self) -> bool {
+        self.termination.is_none() && self.live.is_empty() && self.unsaved.is_empty()
+    }
+
+    /// Since when nothing of it runs, for one that waits.
+    pub fn waiting_since(&self) -> Micros {
+        self.submitted.max(self.last_started)
+    }
+
+    /// How many of its tasks start at the same time at its beginning.
+    pub fn tasks_to_begin(&self) -> u64 {
+        if self.is_gang() {
+            u64::from(self.request.tasks)
+        } else {
+            1
+        }
+    }
+
     /// Its tasks start and end together.
     pub fn is_gang(&self) -> bool {
         self.request.shape == Shape::Gang
--- a/crates/jasperhill-scheduler/src/partition/mod.rs
+++ b/crates/jasperhill-scheduler/src/partition/mod.rs
@@ -4,8 +4,10 @@
 mod events;
 mod hosts;
 mod task_outcomes;
+mod waiting;
 
 pub use events::{AdmissionDecision, Event};
+pub use waiting::{WaitReason, WaitingJobs};
 
 use crate::{
     config::{SchedulerConfig, Specs},
--- a/crates/jasperhill-scheduler/src/starvation.rs
+++ b/crates/jasperhill-scheduler/src/starvation.rs
@@ -1,11 +1,14 @@
-//! Floors: no class of jobs and no team falls behind for as long as others bring more important
-//! work, or more of it. Owns what has begun lately, by class and team; every change goes through
-//! [`StarvationGuard::apply`].
+//! Minimum shares: no class of jobs, no size of jobs within a class and no team starves for as long
+//! as others bring more important work, or more of it. Owns what has begun lately, by group; every
+//! change goes through [`StarvationGuard::apply`].
 //!
-//! Whoever of two classes comes first is the priorities' and deadlines' affair as long as both get
-//! on. A class or team of which less than the floor has begun is *behind*: of its jobs that have
-//! waited for too long the oldest few get a turn, which is before all work but production. With its
-//! first start the turn is over. Nothing is stopped for it.
+//! Which of two classes comes first is up to priorities and deadlines as long as both get on. A
+//! group of which less than the minimum share has begun is *starved*: of its jobs that have waited
+//! for too long the oldest few are boosted, before all work but production, until their first task
+//! starts. Nothing is stopped for them.
+//!
+//! Sizes count by themselves because a class whose small jobs start one after another has its share,
+//! while its large ones, which are harder to place, may wait behind them without end.
 
 use jasperhill_wire::{JobId, Micros, Name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,10 +24,13 @@
 /// against a gang that gathers its machines, or can't, and holds up all behind it.
 const WAITING_PER_BOOST: usize = 4;
 const BOOSTED_MAX: usize = 4;
+/// A job that is alone of its size has waited for too long after so many times as long: a few in
+/// its class may still be what others of the class are.
+const LONG_WAIT_TIMES_ALONE: f64 = 2.0;
 /// How often who is behind is found out.
 const EVALUATE_EVERY: Micros = Micros::from_secs(1);
-/// Classes and teams that are remembered.
-const NAMES_MAX: usize = 1_000;
+/// Groups that are remembered.
+const GROUPS_MAX: usize = 1_000;
 
 /// Whose floor it is.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,6 +39,30 @@
     Class(Name),
     /// All jobs of a team.
     Team(Name),
+    /// The jobs of a class that have about as many tasks.
+    Size(Name, SizeBucket),
+}
+
+/// Jobs from so many tasks up to twice as many, exclusively: the binary logarithm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SizeBucket(u32);
+
+impl SizeBucket {
+    /// The one of a job with so many tasks.
+    pub fn of(tasks: u32) -> Self {
+        Self(tasks.max(1).ilog2())
+    }
+}
+
+impl Group {
+    /// Those that a job belongs to.
+    pub fn all_of(class: &Name, team: &Name, tasks: u32) -> [Self; 3] {
+        [
+            Self::Class(class.clone()),
+            Self::Size(class.clone(), SizeBucket::of(tasks)),
+            Self::Team(team.clone()),
+        ]
+    }
 }
 
 /// A job that could start, and has nothing running.
@@ -40,10 +70,8 @@
 pub struct WaitingJob<'a> {
     /// The job.
     pub id: &'a JobId,
-    /// Its class.
-    pub class: &'a Name,
-    /// Its team.
-    pub team: &'a Name,
+    /// Those of its groups that it keeps waiting for others.
+    pub groups: Vec<Group>,
     /// Since when it has nothing running.
     pub since: Micros,
     /// Within what time its objective wants it begun.
@@ -51,14 +79,14 @@
 }
 
 impl WaitingJob<'_> {
+    fn long_wait(&self) -> Micros {
+        LONG_WAIT.max(self.within.scale(LONG_WAIT_TIMES))
+    }
     fn is_long(&self, now: Micros) -> bool {
-        now - self.since > LONG_WAIT.max(self.within.scale(LONG_WAIT_TIMES))
+        now - self.since > self.long_wait()
     }
-    fn groups(&self) -> [Group; 2] {
-        [
-            Group::Class(self.class.clone()),
-            Group::Team(self.team.clone()),
-        ]
+    fn is_long_alone(&self, now: Micros) -> bool {
+        now - self.since > self.long_wait().scale(LONG_WAIT_TIMES_ALONE)
     }
 }
 
@@ -73,6 +101,8 @@
         class: &'a Name,
         /// Its team.
         team: &'a Name,
+        /// How many tasks it has.
+        tasks: u32,
     },
     /// All that waits now, for a look around.
     Evaluate(&'a [WaitingJob<'a>]),
@@ -85,6 +115,14 @@
     pub share: f64,
     /// Those that wait for too long.
     pub waiting: usize,
+    /// They are enough, or have waited for long enough, to starve.
+    counts: bool,
+}
+
+impl ServedShare {
+    fn is_below(&self, least: f64) -> bool {
+        self.counts && self.share < least
+    }
 }
 
 /// What share of each class's and team's jobs has begun, and which jobs go first for it.
@@ -102,28 +140,40 @@
     /// The one function that changes it. `least`: the floor; 0: none.
     pub fn apply(&mut self, input: Input<'_>, least: f64, now: Micros) {
         match input {
-            Input::Begun { id, class, team } => {
+            Input::Begun {
+                id,
+                class,
+                team,
+                tasks,
+            } => {
                 self.boosted.remove(id);
-                for group in [Group::Class(class.clone()), Group::Team(team.clone())] {
-                    if self.begun.len() >= NAMES_MAX && !self.begun.contains_key(&group) {
-                        self.begun.retain(|_, (_, at)| now - *at < MEMORY);
-                    }
-                    let known = self.begun.entry(group).or_insert((0.0, now));
-                    *known = (faded(*known, now) + 1.0, now);
+                for group in Group::all_of(class, team, tasks) {
+                    self.count_begun(group, now);
                 }
             }
             Input::Evaluate(waiting) => self.look(waiting, least, now),
         }
     }
 
+    fn count_begun(&mut self, group: Group, now: Micros) {
+        if self.begun.len() >= GROUPS_MAX && !self.begun.contains_key(&group) {
+            self.begun.retain(|_, (_, at)| now - *at < MEMORY);
+            if self.begun.len() >= GROUPS_MAX {
+                return;
+            }
+        }
+        let known = self.begun.entry(group).or_insert((0.0, now));
+        *known = (faded(*known, now) + 1.0, now);
+    }
+
     fn look(&mut self, waiting: &[WaitingJob<'_>], least: f64, now: Micros) {
         self.looked = Some(now);
         self.standing.clear();
         self.boosted.clear();
         let mut long: BTreeMap<Group, Vec<&WaitingJob<'_>>> = BTreeMap::new();
         for job in waiting.iter().filter(|w| w.is_long(now)) {
-            for group in job.groups() {
-                long.entry(group).or_default().push(job);
+            for group in &job.groups {
+                long.entry(group.clone()).or_default().push(job);
             }
         }
         for (group, jobs) in &long {
@@ -131,9 +181,15 @@
             let all = begun + jobs.len() as f64;
             let share = begun / all.max(1.0);
             let waiting = jobs.len();
-            self.standing
-                .insert(group.clone(), ServedShare { share, waiting });
-            if share < least && waiting >= FEW {
+            let is_size = matches!(group, Group::Size(..));
+            let counts = waiting >= FEW || is_size && jobs.iter().any(|j| j.is_long_alone(now));
+            let served = ServedShare {
+                share,
+                waiting,
+                counts,
+            };
+            self.standing.insert(group.clone(), served);
+            if served.is_below(least) {
                 let mut oldest: Vec<_> = jobs.iter().map(|w| (w.since, w.id)).collect();
                 oldest.sort();
                 let turns = (1 + waiting / WAITING_PER_BOOST).min(BOOSTED_MAX);
@@ -155,8 +211,7 @@
 
     /// Those that get turns.
     pub fn starved(&self, least: f64) -> BTreeSet<Group> {
-        let behind = |s: &ServedShare| s.share < least && s.waiting >= FEW;
-        let groups = self.standing.iter().filter(|(_, s)| behind(s));
+        let groups = self.standing.iter().filter(|(_, s)| s.is_below(least));
         groups.map(|(g, _)| g.clone()).collect()
     }
 
--- a/crates/jasperhill-scheduler/src/starvation/tests.rs
+++ b/crates/jasperhill-scheduler/src/starvation/tests.rs
@@ -4,6 +4,15 @@
     Micros::from_secs(10_000 + s)
 }
 
+fn begun<'a>(id: &'a JobId, class: &'a Name, team: &'a Name) -> Input<'a> {
+    Input::Begun {
+        id,
+        class,
+        team,
+        tasks: 4,
+    }
+}
+
 #[test]
 fn one_job_at_a_time_of_whoever_is_behind_gets_a_turn() {
     let (idle, urgent): (Name, Name) = ("idle".into(), "urgent".into());
@@ -15,13 +24,12 @@
     for n in 0..100 {
         let (class, team) = (&urgent, &teams[n % 2]);
         let id = &ids[7];
-        floors.apply(Input::Begun { id, class, team }, 0.6, secs(n as u64));
+        floors.apply(begun(id, class, team), 0.6, secs(n as u64));
     }
     let waiting: Vec<WaitingJob<'_>> = (0..8)
         .map(|n| WaitingJob {
             id: &ids[n],
-            class: if n < 4 { &idle } else { &urgent },
-            team: &teams[n % 2],
+            groups: Group::all_of(if n < 4 { &idle } else { &urgent }, &teams[n % 2], 4).into(),
             since: secs(20 - n as u64),
             within: Micros::from_secs(10),
         })
@@ -37,7 +45,7 @@
     );
     // With its first start the turn is over.
     let (id, class, team) = (&ids[3], &idle, &teams[1]);
-    floors.apply(Input::Begun { id, class, team }, 0.6, secs(100));
+    floors.apply(begun(id, class, team), 0.6, secs(100));
     assert!(!floors.is_boosted(id));
     let share = floors.shares()[&Group::Class(urgent.clone())].share;
     assert!(share > 0.9, "{share}");
@@ -47,7 +55,7 @@
     for _ in 0..10 {
         let (class, team) = (&idle, &teams[0]);
         let id = &ids[7];
-        floors.apply(Input::Begun { id, class, team }, 0.6, secs(100));
+        floors.apply(begun(id, class, team), 0.6, secs(100));
     }
     floors.apply(Input::Evaluate(&waiting), 0.6, secs(101));
     assert!(!ids.iter().any(|id| floors.is_boosted(id)));
--- /dev/null
+++ b/crates/jasperhill-testkit/src/bin/play-scenario.rs
@@ -0,0 +1,148 @@
+//! Plays a scenario of a known failure with many seeds, or with a part of it left out, and prints
+//! what came of each. `LOG_LEVEL=debug` logs what the controllers do; it is of use with one seed.
+
+use clap::{Args, Parser, Subcommand};
+use jasperhill_testkit::{
+    Outcome, Scenario, run_all,
+    scenario::Scale,
+    stress::{CrashLoops, Overload},
+};
+use std::{process::ExitCode, str::FromStr, time::Duration};
+use tracing::level_filters::LevelFilter;
+
+/// Plays a scenario with these seeds.
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// More urgent work than capacity, over slow links, while a controller restarts.
+    Overload(OverloadArgs),
+    /// Controllers that end again and again.
+    CrashLoops(CrashLoopArgs),
+}
+
+#[derive(Args)]
+struct Seeds {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    from: u64,
+    /// How many seeds.
+    #[arg(long, default_value_t = 24)]
+    count: u64,
+}
+
+#[derive(Args)]
+struct OverloadArgs {
+    #[command(flatten)]
+    seeds: Seeds,
+    /// Urgent arrays of 40 tasks.
+    #[arg(long, default_value_t = 480)]
+    arrays: usize,
+    /// Leave out the slow links.
+    #[arg(long)]
+    without_slow_links: bool,
+    /// Leave out the restart of a controller.
+    #[arg(long)]
+    without_restart: bool,
+}
+
+#[derive(Args)]
+struct CrashLoopArgs {
+    #[command(flatten)]
+    seeds: Seeds,
+    /// How many of the three controllers loop.
+    #[arg(long, default_value_t = 3)]
+    nodes: usize,
+    /// How often each ends.
+    #[arg(long, default_value_t = 25)]
+    times: usize,
+    /// How long each life lasts, in milliseconds.
+    #[arg(long, default_value_t = 900)]
+    life_ms: u64,
+    /// How soon the next one begins, in milliseconds.
+    #[arg(long, default_value_t = 50)]
+    back_ms: u64,
+    /// On 300 machines in place of 600.
+    #[arg(long)]
+    large: bool,
+}
+
+fn main() -> ExitCode {
+    install_logging();
+    let played = match Cli::parse().command {
+        Command::Overload(args) => play(&args.seeds, |seed| {
+            let overload = Overload {
+                arrays: args.arrays,
+                slow_links: !args.without_slow_links,
+                restart: !args.without_restart,
+            };
+            overload.scenario(seed)
+        }),
+        Command::CrashLoops(args) => play(&args.seeds, |seed| crash_loops(&args).scenario(seed)),
+    };
+    for (name, outcome) in &played {
+        println!("{name}: {}", summary(outcome));
+    }
+    if played.iter().all(|(_, outcome)| outcome.broken.is_empty()) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn crash_loops(args: &CrashLoopArgs) -> CrashLoops {
+    CrashLoops {
+        nodes: args.nodes,
+        times: args.times,
+        life: Duration::from_millis(args.life_ms),
+        back: Duration::from_millis(args.back_ms),
+        scale: if args.large {
+            Scale::Large
+        } else {
+            Scale::Fleet
+        },
+    }
+}
+
+fn play(seeds: &Seeds, scenario: impl Fn(u64) -> Scenario) -> Vec<(String, Outcome)> {
+    let seeds = seeds.from..seeds.from + seeds.count;
+    let scenarios: Vec<_> = seeds
+        .map(|seed| (format!("seed {seed:4}"), scenario(seed)))
+        .collect();
+    let mut played = run_all(&scenarios);
+    played.sort_by(|a, b| a.0.cmp(&b.0));
+    played
+}
+
+fn summary(outcome: &Outcome) -> String {
+    format!(
+        "broken {:?}, started {}, killed {}, least class {:?}, team {:?}, largest {:?}, \
+         longest wait {:.1} s, state peak {}, unowned {:?}, unanswered {}",
+        outcome.broken,
+        outcome.started,
+        outcome.killed,
+        outcome.least_class,
+        outcome.least_team,
+        outcome.least_largest,
+        outcome.longest_wait,
+        outcome.state_peak,
+        outcome.unowned,
+        outcome.unanswered.len(),
+    )
+}
+
+/// Logs at the level of the environment, or nothing.
+fn install_logging() {
+    let level = std::env::var("LOG_LEVEL").ok();
+    let level = level.and_then(|level| LevelFilter::from_str(&level).ok());
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_max_level(level.unwrap_or(LevelFilter::OFF))
+        .with_ansi(false)
+        .without_time()
+        .init();
+}
--- a/crates/jasperhill-testkit/src/lib.rs
+++ b/crates/jasperhill-testkit/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod runner;
 pub mod scenario;
 pub mod state;
+pub mod stress;
 pub mod transcript;
 pub mod users;
 pub mod worker;
