Scheduler: a reservation of a team's limit looks when its part is free, and pauses

Cause: a gang behind tasks that last reserved its part without end, and small work of its team waited beside room although the team was under its limit. Now a part is reserved only if what ends within 30 s frees it, for 40 s in a row at most, then not for 20 s.

The window stands in a file of its own: the import test found a circle.

--- a/crates/jasperhill-scheduler/src/cycle/context.rs
+++ b/crates/jasperhill-scheduler/src/cycle/context.rs
@@ -1,8 +1,7 @@
 //! What a scheduling cycle keeps track of.
 
 use crate::{
-    cycle::team_quota::QuotaReservation, host::LISTED_MAX, job::Job, partition::UnconfirmedTasks,
-    schedule_simulation::Occupied,
+    host::LISTED_MAX, job::Job, partition::UnconfirmedTasks, schedule_simulation::Occupied,
 };
 use jasperhill_wire::{
     HostId, JobId, Micros, Name, Resources, TaskId,
@@ -68,6 +67,14 @@
     }
 }
 
+/// The part of a team's limit that is kept for a waiting gang for the rest of a cycle.
+pub(crate) struct QuotaReservation {
+    /// The gang.
+    pub job: JobId,
+    /// All of its tasks together.
+    pub resources: Resources,
+}
+
 /// What a cycle keeps track of.
 pub(crate) struct Cycle {
     /// The time of the cycle.
--- a/crates/jasperhill-scheduler/src/cycle/gang.rs
+++ b/crates/jasperhill-scheduler/src/cycle/gang.rs
@@ -27,7 +27,7 @@
         }
         if !self.may_start(cycle, &request, u64::from(request.tasks)) {
             if !job.failures.is_backing_off() {
-                self.reserve_quota(cycle, job);
+                self.reserve_quota(cycle, id);
             }
             return;
         }
@@ -218,10 +218,11 @@
         if job.preempting.is_empty() && !self.may_reserve_for_gang(cycle, &job.request) {
             return;
         }
-        self.reserve_quota(cycle, job);
+        let hosts = kept.hosts.clone();
+        self.reserve_quota(cycle, id);
         cycle.reserved_for_gangs.0 += 1;
-        cycle.reserved_for_gangs.1 += kept.hosts.len();
-        for host in &kept.hosts {
+        cycle.reserved_for_gangs.1 += hosts.len();
+        for host in &hosts {
             if let Some(i) = cycle.slot(host)
                 && cycle.slots[i].reserved.is_none()
             {
--- a/crates/jasperhill-scheduler/src/cycle/team_quota.rs
+++ b/crates/jasperhill-scheduler/src/cycle/team_quota.rs
@@ -6,21 +6,17 @@
 
 use crate::{
     config::TeamLimits,
-    cycle::context::Cycle,
+    cycle::context::{Cycle, QuotaReservation},
     job::{Job, Readiness},
     partition::Partition,
+    reservation_window::ReservationWindow,
     starvation::Group,
 };
-use jasperhill_wire::{JobId, Name, Resources, user::JobRequest};
+use jasperhill_wire::{JobId, Micros, Name, Resources, user::JobRequest};
 use std::collections::BTreeMap;
 
-/// The part of a team's limit that is kept for a waiting gang for the rest of a cycle.
-pub(crate) struct QuotaReservation {
-    /// The gang.
-    pub job: JobId,
-    /// All of its tasks together.
-    pub resources: Resources,
-}
+/// What ends within this time is waited for; what runs for longer is not.
+const ENDS_SOON: Micros = Micros::from_secs(30);
 
 /// What the classes of a team, and the sizes of jobs within them, use of the team's limit.
 #[derive(Default)]
@@ -87,14 +83,23 @@
     }
 
     /// Reserves a gang's part of its team's limit for the rest of the cycle, if no gang before it
-    /// in the order has done so, and if there are hosts that could take it.
-    pub(crate) fn reserve_quota(&self, cycle: &mut Cycle, job: &Job) {
-        let request = &job.request;
+    /// in the order has done so, its part is free soon, and there are hosts that could take it.
+    pub(crate) fn reserve_quota(&mut self, cycle: &mut Cycle, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let request = job.request.clone();
         if cycle.quota_reservations.contains_key(&request.team)
+            || !self.has_quota_soon(cycle, job)
             || !self.has_hosts_for_whole(cycle, job)
         {
             return;
         }
+        let window = self.reservation_windows.entry(request.team.clone());
+        if !window
+            .or_insert_with(|| ReservationWindow::new(cycle.now))
+            .apply(cycle.now)
+        {
+            return;
+        }
         let reservation = QuotaReservation {
             job: request.id.clone(),
             resources: request.each.times(u64::from(request.tasks)),
@@ -104,6 +109,32 @@
             .insert(request.team.clone(), reservation);
     }
 
+    /// The gang is within its team's limit once what is expected to end soon has ended.
+    fn has_quota_soon(&self, cycle: &Cycle, gang: &Job) -> bool {
+        let request = &gang.request;
+        let Some(team) = self.config.team(&request.team) else {
+            return false;
+        };
+        let used = self.used_by_team.get(&request.team).copied();
+        let unseen = cycle.unconfirmed_use.get(&request.team).copied();
+        let mut lasting = used.unwrap_or_default();
+        lasting += unseen.unwrap_or_default();
+        for job in self.jobs.values() {
+            let is_mate = job.request.team == request.team && !job.live.is_empty();
+            if is_mate && self.ends_soon(job, cycle.now) {
+                lasting -= job.request.each.times(job.live.len() as u64);
+            }
+        }
+        lasting += request.each.times(u64::from(request.tasks));
+        team.allows(&lasting)
+    }
+
+    /// The tasks that run now are expected to end soon.
+    fn ends_soon(&self, job: &Job, now: Micros) -> bool {
+        let ends = job.last_started + self.estimate(&job.request);
+        job.termination.is_some() || (!job.is_service() && ends < now + ENDS_SOON)
+    }
+
     /// The hosts would suffice for all tasks of this gang if nothing else ran there.
     fn has_hosts_for_whole(&self, cycle: &Cycle, job: &Job) -> bool {
         let request = &job.request;
--- a/crates/jasperhill-scheduler/src/lib.rs
+++ b/crates/jasperhill-scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pace;
 pub mod partition;
 pub mod recovery;
+mod reservation_window;
 pub mod schedule_simulation;
 pub mod sharding;
 pub mod starvation;
--- a/crates/jasperhill-scheduler/src/partition/mod.rs
+++ b/crates/jasperhill-scheduler/src/partition/mod.rs
@@ -17,6 +17,7 @@
     move_budget::MoveBudget,
     pace::OverrunWatch,
     recovery::{self, Recovery, ReplicaRecovery},
+    reservation_window::ReservationWindow,
     starvation::StarvationGuard,
 };
 use jasperhill_wire::{
@@ -82,6 +83,8 @@
     pub(crate) move_budget: MoveBudget,
     /// Who falls behind.
     pub starvation: StarvationGuard,
+    /// When limits are reserved for gangs, by team.
+    pub(crate) reservation_windows: BTreeMap<Name, ReservationWindow>,
 }
 
 /// Attempts are unique by construction: the ownership's revision, then a counter.
@@ -111,6 +114,7 @@
             overrun_watch: OverrunWatch::default(),
             move_budget: MoveBudget::default(),
             starvation: StarvationGuard::default(),
+            reservation_windows: BTreeMap::new(),
         }
     }
 
--- a/crates/jasperhill-scheduler/tests/machines/team_limits.rs
+++ b/crates/jasperhill-scheduler/tests/machines/team_limits.rs
@@ -1,6 +1,6 @@
 //! Work that waits for its own team's limit.
 
-use crate::support::{NOW, all_exit, live, partition, request};
+use crate::support::{NOW, all_exit, all_runs, live, partition, request};
 use jasperhill_scheduler::Partition;
 use jasperhill_wire::{JobId, Micros, Revision, user::Priority, worker::ExitCause};
 use std::rc::Rc;
@@ -63,3 +63,39 @@
     part.run_cycle(NOW + HOST_INTERVAL);
     assert_eq!(live(&part, "job-array"), 2);
 }
+
+/// A gang that waits for a task of its team that lasts holds up no other work of the team, which is
+/// under its limit. Seen as `waited: job-650003 90s beside room` where a gang reserved its part
+/// without looking when it would be free.
+#[test]
+fn a_gang_that_waits_for_a_lasting_task_holds_up_no_other_work() {
+    let mut part = partition(HOSTS, false);
+    submit(&mut part, "job-daemon", "daemon", 1, 1.0, 0);
+    part.run_cycle(NOW);
+    submit(&mut part, "job-gang", "ensemble", 2, 2.0, 1);
+    submit(&mut part, "job-array", "array", 1, 1.0, 2);
+    part.run_cycle(NOW + HOST_INTERVAL);
+    assert_eq!((live(&part, "job-gang"), live(&part, "job-array")), (0, 1));
+}
+
+/// Where the tasks before it take longer than they are expected to, a gang's reservation pauses.
+#[test]
+fn a_reservation_pauses_before_others_have_waited_for_too_long() {
+    let mut part = partition(HOSTS, false);
+    submit(&mut part, "job-first", "array", 1, 1.0, 0);
+    part.run_cycle(NOW);
+    submit(&mut part, "job-gang", "ensemble", 2, 2.0, 1);
+    submit(&mut part, "job-array", "array", 1, 1.0, 2);
+    let begun = (1u64..120).find(|second| {
+        let now = NOW + Micros::from_secs(*second);
+        for host in 1..=HOSTS {
+            all_runs(&mut part, &format!("n-{host}"), 10 + second, now);
+        }
+        part.run_cycle(now);
+        live(&part, "job-array") > 0
+    });
+    assert!(
+        begun.is_some_and(|second| (35..60).contains(&second)),
+        "{begun:?}"
+    );
+}
