--- a/crates/jasperhill-scheduler/src/cycle/context.rs
+++ b/crates/jasperhill-scheduler/src/cycle/context.rs
@@ -87,6 +87,8 @@
     pub(super) unconfirmed_use: BTreeMap<Name, Resources>,
     /// What of their limits teams keep for a waiting gang; by team.
     pub(super) quota_reservations: BTreeMap<Name, QuotaReservation>,
+    /// How many gangs of each team were looked at for that.
+    pub(super) quota_attempts: BTreeMap<Name, u32>,
     /// Amounts for which no host has room. Room only shrinks during a cycle, so these stay
     /// true: what waits behind a full fleet costs one comparison, not a look at every host.
     pub(super) infeasible: Vec<Resources>,
--- a/crates/jasperhill-scheduler/src/cycle/mod.rs
+++ b/crates/jasperhill-scheduler/src/cycle/mod.rs
@@ -58,6 +58,7 @@
             slots,
             unconfirmed_use,
             quota_reservations: BTreeMap::new(),
+            quota_attempts: BTreeMap::new(),
             infeasible: Vec::new(),
             gangs_without_hosts: Vec::new(),
             gangs_without_victims: Vec::new(),
--- a/crates/jasperhill-scheduler/src/cycle/team_quota.rs
+++ b/crates/jasperhill-scheduler/src/cycle/team_quota.rs
@@ -13,8 +13,11 @@
     starvation::Group,
 };
 use jasperhill_wire::{JobId, Micros, Name, Resources, user::JobRequest};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, btree_map::Entry};
 
+/// Gangs of a team that are looked at in one cycle for a reservation. Guards against a look at all
+/// jobs for each of many gangs that wait.
+const ATTEMPTS_MAX: u32 = 4;
 /// What ends within this time is waited for; what runs for longer is not.
 const ENDS_SOON: Micros = Micros::from_secs(30);
 
@@ -23,6 +26,17 @@
 pub(crate) struct LimitUsage {
     /// By team and group; nothing for a group that only waits.
     used: BTreeMap<(Name, Group), Resources>,
+    /// The classes that have work, by team.
+    classes: BTreeMap<Name, GroupTotals>,
+    /// The sizes that have work, by team and class.
+    sizes: BTreeMap<(Name, Name), GroupTotals>,
+}
+
+/// Groups that share something, together.
+#[derive(Clone, Copy, Default)]
+struct GroupTotals {
+    groups: usize,
+    used: Resources,
 }
 
 impl LimitUsage {
@@ -30,33 +44,39 @@
         let request = &job.request;
         let used = request.each.times(job.live.len() as u64);
         for group in Group::all_of(&request.class, &request.team, request.tasks) {
-            *self.used.entry((request.team.clone(), group)).or_default() += used;
+            let totals = match &group {
+                Group::Class(_) => self.classes.entry(request.team.clone()).or_default(),
+                Group::Size(class, _) => self
+                    .sizes
+                    .entry((request.team.clone(), class.clone()))
+                    .or_default(),
+                Group::Team(_) => continue,
+            };
+            let known = self.used.entry((request.team.clone(), group));
+            totals.groups += usize::from(matches!(known, Entry::Vacant(_)));
+            totals.used += used;
+            *known.or_default() += used;
         }
     }
 
     /// This class or size of jobs uses less of its team's limit than an equal part for each that has
     /// work: it waits for others, although the limit is its own team's.
     pub fn is_below_equal_part(&self, team: &TeamLimits, group: &Group) -> bool {
-        let is_alike = |other: &Group| match (group, other) {
-            (Group::Class(_), Group::Class(_)) => true,
-            (Group::Size(class, _), Group::Size(other, _)) => class == other,
-            _ => false,
-        };
-        let of_team = self.used.iter().filter(|((name, _), _)| name == &team.name);
-        let alike: Vec<_> = of_team.filter(|((_, other), _)| is_alike(other)).collect();
-        let mut all = Resources::default();
-        for (_, used) in &alike {
-            all += **used;
-        }
         // Sizes share what their class has, classes what the team may have.
-        let whole = if matches!(group, Group::Class(_)) {
-            team.limit
-        } else {
-            all
+        let (groups, whole) = match group {
+            Group::Class(_) => {
+                let classes = self.classes.get(&team.name);
+                (classes.map_or(0, |totals| totals.groups), team.limit)
+            }
+            Group::Size(class, _) => {
+                let sizes = self.sizes.get(&(team.name.clone(), class.clone()));
+                sizes.map_or((0, team.limit), |totals| (totals.groups, totals.used))
+            }
+            Group::Team(_) => return false,
         };
         let own = self.used.get(&(team.name.clone(), group.clone()));
         let own = own.copied().unwrap_or_default().share_of(&whole);
-        !alike.is_empty() && own * (alike.len() as f64) < 1.0
+        groups > 0 && own * (groups as f64) < 1.0
     }
 }
 
@@ -87,7 +107,11 @@
     pub(crate) fn reserve_quota(&mut self, cycle: &mut Cycle, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
         let request = job.request.clone();
-        if cycle.quota_reservations.contains_key(&request.team)
+        let attempts = cycle.quota_attempts.entry(request.team.clone());
+        let attempts = attempts.or_default();
+        *attempts += 1;
+        if *attempts > ATTEMPTS_MAX
+            || cycle.quota_reservations.contains_key(&request.team)
             || !self.has_quota_soon(cycle, job)
             || !self.has_hosts_for_whole(cycle, job)
         {
