--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Case: a job that is bound to one zone loses its machine and waits for ever, since its partition has enough machines elsewhere."""
+"""Case 2: a job that is bound to one zone loses its machine and waits for ever, since its partition has enough machines elsewhere."""
 import asyncio, os, sys
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Case: a job whose tasks failed on two sick machines gets no machine any more and waits for ever."""
+"""Case 3: a job whose tasks failed on two sick machines gets no machine any more and waits for ever."""
 import asyncio, os, sys
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
