Results: a completed gang is called done however its last task ends

Cause: the set of jobs with results to write was filled by reports alone. The pass after the first report took the gang out, since a gang is only written as a whole; the end of the lease then made the last task done and nothing put the job back. The same holds for a host whose record goes and for an exit with `peers`.

Change: the set is replaced by Job::has_results_to_save, derived from the job's state in each pass. The testkit can submit given jobs, mute or lose the machine of a job, make machines sick, and tells when each job ended.

--- a/crates/jasperhill-controller/src/results/saving.rs
+++ b/crates/jasperhill-controller/src/results/saving.rs
@@ -6,7 +6,7 @@
     store::{WriteOutcome, WritePriority, guard, put},
     watch_cache::JobEntry,
 };
-use jasperhill_scheduler::Partition;
+use jasperhill_scheduler::job::Job;
 use jasperhill_wire::{
     JobId, Micros, Revision,
     record::{RecordPhase, Role, job_key, role_key},
@@ -52,31 +52,23 @@
         let state = &mut *state_guard;
         state.results.prune(now);
         let write_rate = state.store.commit_queue.rate();
-        for partition in state.scheduling.partitions.values_mut() {
-            for id in std::mem::take(&mut partition.jobs_with_unsaved_results) {
-                if !has_result_to_save(partition, &id) {
-                    continue;
-                }
-                let is_done = partition
-                    .jobs
-                    .get(&id)
-                    .is_some_and(|job| job.done.is_full());
-                let has_dependents = is_done && state.cache.dependencies.has_dependents(&id);
-                let is_due = state.results.may_start_saving(&id, has_dependents)
-                    && (is_done || state.results.is_partial_due(&id, write_rate, now));
+        for partition in state.scheduling.partitions.values() {
+            for job in partition.jobs_with_results_to_save() {
+                let id = &job.request.id;
+                let is_done = job.done.is_full();
+                let has_dependents = is_done && state.cache.dependencies.has_dependents(id);
+                let is_due = state.results.may_start_saving(id, has_dependents)
+                    && (is_done || state.results.is_partial_due(id, write_rate, now));
                 if is_due {
                     state.results.start_saving(id.clone());
-                    due_results.push((partition.id, id));
-                } else {
-                    partition.jobs_with_unsaved_results.insert(id);
+                    due_results.push((partition.id, id.clone()));
                 }
             }
         }
         due_results
     }
 
-    /// Writes the results of a job, and marks the job as unsaved again if further results are not
-    /// durable.
+    /// Writes the results of a job, and wakes the scheduler if there are further results to write.
     async fn save_result(self: Rc<Self>, partition_id: u32, id: JobId) {
         let has_dependents = self.state.borrow().cache.dependencies.has_dependents(&id);
         let mut is_saved = true;
@@ -104,13 +96,10 @@
         }
         let mut state = self.state.borrow_mut();
         state.results.saving.remove(&id);
-        if let Some(partition) = state.scheduling.partitions.get_mut(&partition_id)
-            && has_unsaved_result(partition, &id)
-        {
-            partition.jobs_with_unsaved_results.insert(id);
-            if is_saved {
-                self.wakeups.scheduler.notify_one();
-            }
+        let partition = state.scheduling.partitions.get(&partition_id);
+        let job = partition.and_then(|partition| partition.jobs.get(&id));
+        if is_saved && job.is_some_and(Job::has_results_to_save) {
+            self.wakeups.scheduler.notify_one();
         }
     }
 
@@ -138,23 +127,3 @@
         })
     }
 }
-
-/// Returns whether a job has finished tasks or failed attempts that should be written. The tasks of
-/// a gang are written only when all of them are done.
-fn has_result_to_save(partition: &Partition, id: &JobId) -> bool {
-    partition.jobs.get(id).is_some_and(|job| {
-        let has_unsaved_tasks =
-            !job.unsaved_tasks.is_empty() && (!job.is_gang() || job.done.is_full());
-        let has_unsaved_failures = job.failures.failed_attempts() != job.failed_attempts_saved;
-        job.termination.is_none() && (has_unsaved_tasks || has_unsaved_failures)
-    })
-}
-
-/// Returns whether a job has finished tasks or failed attempts that are not durable yet.
-fn has_unsaved_result(partition: &Partition, id: &JobId) -> bool {
-    partition.jobs.get(id).is_some_and(|job| {
-        job.termination.is_none()
-            && (!job.unsaved_tasks.is_empty()
-                || job.failures.failed_attempts() != job.failed_attempts_saved)
-    })
-}
--- a/crates/jasperhill-scheduler/src/job.rs
+++ b/crates/jasperhill-scheduler/src/job.rs
@@ -315,6 +315,19 @@
         self.termination.is_none() && self.live.is_empty() && self.unsaved_tasks.is_empty()
     }
 
+    /// Returns whether results or failed attempts are known that the job's record should contain.
+    /// Tasks of a gang count only when all of them are done, and a completed task counts only when
+    /// no host may still run it.
+    pub fn has_results_to_save(&self) -> bool {
+        let has_unsaved_tasks = if self.is_gang() {
+            !self.unsaved_tasks.is_empty() && self.done.is_full()
+        } else {
+            self.unsaved_tasks.iter().any(|i| self.done.contains(*i))
+        };
+        let has_unsaved_failures = self.failures.failed_attempts() != self.failed_attempts_saved;
+        self.termination.is_none() && (has_unsaved_tasks || has_unsaved_failures)
+    }
+
     /// Returns the time since which a waiting job has had no running task.
     pub fn waiting_since(&self) -> Micros {
         self.submitted.max(self.last_started)
--- a/crates/jasperhill-scheduler/src/partition/mod.rs
+++ b/crates/jasperhill-scheduler/src/partition/mod.rs
@@ -71,8 +71,6 @@
     issued_attempts: u64,
     /// Hosts with new commands that are to be sent by direct requests.
     pub hosts_with_new_commands: BTreeSet<HostId>,
-    /// Jobs with results or failure counts that are not in the state store yet.
-    pub jobs_with_unsaved_results: BTreeSet<JobId>,
     /// Events to be logged; the caller removes them.
     pub events: Vec<Event>,
     /// Whether something changed since the last scheduling cycle that may let it start tasks.
@@ -114,7 +112,6 @@
             run_time_ratios: BTreeMap::new(),
             issued_attempts: 0,
             hosts_with_new_commands: BTreeSet::new(),
-            jobs_with_unsaved_results: BTreeSet::new(),
             events: Vec::new(),
             needs_scheduling: true,
             last_cycle_job_count: 0,
@@ -231,7 +228,6 @@
             }
             self.stop_all(id, Micros::ZERO, now);
         }
-        self.jobs_with_unsaved_results.remove(id);
         self.remove_job_if_ended(id);
         self.needs_scheduling = true;
     }
@@ -461,6 +457,14 @@
         used
     }
 
+    /// Iterates over the jobs whose records lack results or failed attempts that are known here.
+    ///
+    /// Computed from the state of the jobs, so that a result is found whichever event completed it:
+    /// a report, the expiry of a lease or the removal of a host.
+    pub fn jobs_with_results_to_save(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().filter(|job| job.has_results_to_save())
+    }
+
     /// Records that the results of these tasks and the number of failed attempts are stored in the
     /// job's record.
     pub fn mark_results_saved(&mut self, id: &JobId, tasks: &BTreeSet<u32>, failed_attempts: u32) {
--- a/crates/jasperhill-scheduler/src/partition/task_outcomes.rs
+++ b/crates/jasperhill-scheduler/src/partition/task_outcomes.rs
@@ -146,7 +146,6 @@
             self.mark_task_completed(host_id, &TaskId::new(&task.job, index));
         }
         self.finish_attempt(&task.job);
-        self.jobs_with_unsaved_results.insert(task.job.clone());
         if let Some(host) = self.hosts.get_mut(host_id) {
             host.recent_failures.clear();
             let started = host.tasks.get(task).map(|entry| entry.ordered_at);
@@ -230,19 +229,13 @@
             .map_or(Micros::ZERO, |started| now - started);
         self.events
             .push(Event::Failed(task.clone(), host_id.clone(), ran));
-        let (was_backing_off, failed_attempts_before) = (
-            job.failures.is_backing_off(),
-            job.failures.failed_attempts(),
-        );
+        let was_backing_off = job.failures.is_backing_off();
         let failed = failures::Input::Failed {
             host: host_id,
             serves: host.has_recent_success_besides(&task.job, now),
             ran,
         };
         job.failures.apply(failed, now);
-        if job.failures.failed_attempts() != failed_attempts_before {
-            self.jobs_with_unsaved_results.insert(task.job.clone());
-        }
         if !job.failures.is_backing_off() {
             if host.record_failure(&task.job, now) {
                 self.events.push(Event::HostQuarantined(host_id.clone()));
@@ -277,7 +270,6 @@
         if !was_backing_off || job.failures.is_backing_off() {
             return;
         }
-        self.jobs_with_unsaved_results.insert(job_id.clone());
         self.needs_scheduling = true;
         for host in hosts {
             if let Some(h) = self.hosts.get_mut(&host)
--- a/crates/jasperhill-scheduler/tests/machines/failures.rs
+++ b/crates/jasperhill-scheduler/tests/machines/failures.rs
@@ -90,7 +90,7 @@
             .all(|h| h.is_usable(NOW, &partition.config))
     );
     assert!(
-        partition.jobs_with_unsaved_results.contains(&id),
+        partition.jobs[&id].has_results_to_save(),
         "the back-off has to be saved"
     );
     // No task starts during the delay, and one task starts after it.
--- a/crates/jasperhill-scheduler/tests/machines/main.rs
+++ b/crates/jasperhill-scheduler/tests/machines/main.rs
@@ -4,6 +4,7 @@
 mod failures;
 mod host_commands;
 mod placement;
+mod results;
 mod support;
 mod takeover;
 mod team_limits;
--- a/crates/jasperhill-testkit/src/cluster/injection.rs
+++ b/crates/jasperhill-testkit/src/cluster/injection.rs
@@ -2,8 +2,9 @@
 
 use super::{STATE_SERVICE_LIMITS, SimulatedCluster};
 use crate::{
-    faults::{ActiveFaults, Fault},
+    faults::{ActiveFaults, Fault, SickMachines},
     users,
+    worker::Worker,
 };
 use rand::Rng;
 use serde_json::Value;
@@ -75,6 +76,24 @@
             }
             Fault::BadBoots(time) => faults(&|f| f.bad_boots_until = Some(now + time)),
             Fault::MachineLoss => self.lose_machine(),
+            Fault::LossOfMachineOf(job) => {
+                if let Some(id) = self.machine_of(&job, None) {
+                    self.remove_machine(&id);
+                }
+            }
+            Fault::NotSendingFrom(job, index, time) => {
+                if let Some(id) = self.machine_of(&job, Some(index)) {
+                    faults(&|f| f.block_sending(id.clone(), now, now + time));
+                }
+            }
+            Fault::SickMachines(job, count, time) => faults(&|f| {
+                f.sick = Some(SickMachines {
+                    job: job.clone(),
+                    count,
+                    until: now + time,
+                    machines: BTreeSet::new(),
+                });
+            }),
         }
     }
 
@@ -167,6 +186,27 @@
         }
     }
 
+    /// Returns a machine on which a task of this job has started, if any; with `index`, the machine
+    /// of this task.
+    fn machine_of(&self, job: &str, index: Option<u32>) -> Option<String> {
+        let inner = self.inner.borrow();
+        let runs_task = |worker: &&Worker| {
+            worker.tasks.iter().any(|((task, _), t)| {
+                task.job.as_str() == job
+                    && index.is_none_or(|index| task.index == index)
+                    && t.is_started()
+            })
+        };
+        inner.workers.values().find(runs_task).map(|w| w.id.clone())
+    }
+
+    /// Removes a machine and all tasks on it.
+    fn remove_machine(&self, id: &str) {
+        let mut inner = self.inner.borrow_mut();
+        inner.workers.remove(id);
+        inner.cloud.machines.remove(id);
+    }
+
     /// Makes machines hang for `time`. Counts machines that have tasks afterwards and whose lease
     /// did not expire meanwhile.
     pub(crate) fn hang_machines(self: &Rc<Self>, ids: Vec<String>, time: Duration) {
--- a/crates/jasperhill-testkit/src/cluster/time.rs
+++ b/crates/jasperhill-testkit/src/cluster/time.rs
@@ -90,6 +90,8 @@
                 cloud.remember(now);
                 let mut hung = BTreeSet::new();
                 for worker in workers.values_mut() {
+                    let jobs_on_machine = worker.tasks.keys().map(|(task, _)| task.job.as_str());
+                    worker.is_sick = faults.is_sick(&worker.id, jobs_on_machine, now);
                     if faults.hangs_until(&worker.id, now).is_some() {
                         worker.hang(TICK_INTERVAL, now, &times, rules);
                         hung.insert(worker.id.clone());
--- a/crates/jasperhill-testkit/src/faults.rs
+++ b/crates/jasperhill-testkit/src/faults.rs
@@ -6,7 +6,7 @@
 //! generator, so that drawing them doesn't change any other random choice of the run.
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 use tokio::time::Instant;
 
 /// Sender or receiver of requests.
@@ -84,6 +84,14 @@
     CloudOutage(Duration),
     /// A machine drawn at random fails permanently, together with its tasks.
     MachineLoss,
+    /// A machine that runs a task of this job fails permanently, together with its tasks.
+    LossOfMachineOf(String),
+    /// The machine that runs the job's task with this index can't send heartbeats to any
+    /// controller, while direct commands reach it.
+    NotSendingFrom(String, u32, Duration),
+    /// The first machines, as many as the number says, that get a task of this job fail every task
+    /// that they start.
+    SickMachines(String, usize, Duration),
     /// The controller is stopped and started with the new version after this long.
     Upgrade(usize, Duration),
     /// The state service enforces its announced stricter limits from now on.
@@ -143,6 +151,8 @@
             | Self::NotReceiving(_, time)
             | Self::DelayedCommands(_, time)
             | Self::NotSending(_, time)
+            | Self::NotSendingFrom(.., time)
+            | Self::SickMachines(.., time)
             | Self::Hang(_, time)
             | Self::CancelNow(_, time)
             | Self::CancelAtEnd(_, time)
@@ -151,7 +161,7 @@
             Self::CrashLoop {
                 times, life, back, ..
             } => (*life + *back) * *times as u32,
-            Self::MachineLoss | Self::LimitsFall => Duration::ZERO,
+            Self::MachineLoss | Self::LossOfMachineOf(_) | Self::LimitsFall => Duration::ZERO,
         }
     }
 }
@@ -187,6 +197,8 @@
     not_sending: Vec<(String, Instant, Instant)>,
     /// Workers whose machine hangs.
     hung: Vec<(String, Instant)>,
+    /// Machines that fail every task; `None` if the fault never began.
+    pub sick: Option<SickMachines>,
     /// Percentage of completing jobs that are cancelled at that moment.
     pub cancel_at_end: ActivePercentage,
     /// How often each fault took effect.
@@ -212,6 +224,19 @@
     }
 }
 
+/// Machines that fail every task that they start: the first ones that get a task of one job.
+#[derive(Clone, Debug)]
+pub struct SickMachines {
+    /// The job whose first machines are sick.
+    pub job: String,
+    /// Number of machines that are sick.
+    pub count: usize,
+    /// End of the fault.
+    pub until: Instant,
+    /// Names of the machines that are sick.
+    pub machines: BTreeSet<String>,
+}
+
 /// How often faults took effect. Tests assert on these counts, because a test whose fault never
 /// occurred would prove nothing.
 #[derive(Clone, Copy, Debug, Default)]
@@ -243,6 +268,8 @@
     /// Copies counted in `late_heartbeats_of_returned` after which the machine had a host record
     /// again.
     pub records_of_returned: usize,
+    /// Machines that were sick.
+    pub sick_machines: usize,
     /// Machines that hung.
     pub hung: usize,
     /// Machines that still had tasks when they resumed from a hang, and had kept their lease.
@@ -323,6 +350,26 @@
             .filter(|(w, _, t)| w == worker && now < *t);
         active.map(|(_, from, _)| now - *from).max()
     }
+    /// Returns whether a machine fails the tasks that it starts. `jobs` are the jobs whose tasks it
+    /// has.
+    pub fn is_sick<'a>(
+        &mut self,
+        worker: &str,
+        mut jobs: impl Iterator<Item = &'a str>,
+        now: Instant,
+    ) -> bool {
+        let Some(sick) = self.sick.as_mut().filter(|sick| now < sick.until) else {
+            return false;
+        };
+        if sick.machines.len() < sick.count
+            && !sick.machines.contains(worker)
+            && jobs.any(|job| job == sick.job)
+        {
+            sick.machines.insert(worker.to_owned());
+            self.counts.sick_machines += 1;
+        }
+        sick.machines.contains(worker)
+    }
     /// Makes a worker's machine hang until this time.
     pub fn hang(&mut self, worker: String, until: Instant) {
         self.hung.push((worker, until));
--- a/crates/jasperhill-testkit/src/invariants.rs
+++ b/crates/jasperhill-testkit/src/invariants.rs
@@ -46,6 +46,8 @@
     pub started: usize,
     /// Time of the first start of a task of each job.
     pub first_start: BTreeMap<String, Instant>,
+    /// Time of the last start of a task of each job.
+    pub last_start: BTreeMap<String, Instant>,
     /// Jobs whose users were told that they are cancelled, by id.
     pub cancels: BTreeMap<String, CancelledJob>,
     /// Time of the last answered query about each job that users query.
@@ -174,6 +176,11 @@
     pub fn final_phase(&self, id: &str) -> Option<&str> {
         self.final_phases.get(id).map(|(phase, _)| phase.as_str())
     }
+    /// Returns the final phase that the job's user was told, and when the user was first told.
+    pub(crate) fn final_phase_and_time(&self, id: &str) -> Option<(&str, Instant)> {
+        let (phase, at) = self.final_phases.get(id)?;
+        Some((phase.as_str(), *at))
+    }
     /// Returns the jobs whose last task has completed since the last call.
     pub(crate) fn take_completed_jobs(
         &mut self,
@@ -427,6 +434,7 @@
         self.tasks_restarted_after_result += usize::from(self.completed_tasks.contains(task));
         let first = self.first_start.entry(task.job.to_string());
         first.or_insert_with(Instant::now);
+        self.last_start.insert(task.job.to_string(), Instant::now());
         self.new_starts
             .push((worker.id.clone(), task.clone(), attempt));
     }
--- a/crates/jasperhill-testkit/src/outcome.rs
+++ b/crates/jasperhill-testkit/src/outcome.rs
@@ -78,6 +78,8 @@
     /// Longest time in seconds after the faults that a job waited although hosts had capacity for
     /// it.
     pub longest_wait: f64,
+    /// What happened to each accepted job, by id.
+    pub job_times: BTreeMap<String, JobTimes>,
     /// How often the injected faults took effect.
     pub fault_counts: FaultCounts,
     /// Most requests that the state service counted in any one-second window. A transaction counts
@@ -85,6 +87,17 @@
     pub state_peak_requests: usize,
 }
 
+/// Times of an accepted job, in seconds from the start of the run.
+#[derive(Clone, Debug)]
+pub struct JobTimes {
+    /// Time of the acceptance.
+    pub accepted: f64,
+    /// Last start of one of its tasks; `None` if none has started.
+    pub last_start: Option<f64>,
+    /// Final phase that its user was told first, and when; `None` if there was none.
+    pub ended: Option<(String, f64)>,
+}
+
 /// Cancellation that a user was told of.
 #[derive(Clone, Debug)]
 pub struct ConfirmedCancellation {
--- a/crates/jasperhill-testkit/src/runner.rs
+++ b/crates/jasperhill-testkit/src/runner.rs
@@ -7,7 +7,7 @@
     },
     faults::ActiveFaults,
     invariants::InvariantChecker,
-    outcome::{ConfirmedCancellation, Outcome},
+    outcome::{ConfirmedCancellation, JobTimes, Outcome},
     scenario::Scenario,
     state::StateService,
     transcript::Transcript,
@@ -220,6 +220,11 @@
             users::run_user(cluster, users::zone_bound_job(number))
         });
     }
+    for (at, body) in scenario.submissions.clone() {
+        spawn_at(cluster, Duration::from_secs(at), move |cluster| {
+            users::run_user(cluster, body)
+        });
+    }
     let failing = (0..scenario.failing_arrays).map(users::failing_array);
     let huge = scenario.huge_guest_array.then(users::huge_array);
     for (n, body) in failing.chain(huge).enumerate() {
@@ -312,6 +317,7 @@
         started_after: rules.started_after,
         latest_start: rules.latest_start.as_secs_f64(),
         longest_wait: rules.longest_wait.as_secs_f64(),
+        job_times: job_times(&inner, origin),
         fault_counts: inner.faults.counts,
         lowest_class_share: smallest_share(by_class.clone()),
         lowest_team_share: smallest_share(by_team.clone()),
@@ -320,6 +326,24 @@
     }
 }
 
+/// Returns when each accepted job was accepted, started and reported as final, relative to the
+/// start `origin` of the run.
+fn job_times(inner: &ClusterState, origin: Instant) -> BTreeMap<String, JobTimes> {
+    let rules = &inner.invariants;
+    let seconds = |at: Instant| (at - origin).as_secs_f64();
+    let times = |(id, accepted): (&String, &Instant)| {
+        let times = JobTimes {
+            accepted: seconds(*accepted),
+            last_start: rules.last_start.get(id).map(|at| seconds(*at)),
+            ended: rules
+                .final_phase_and_time(id)
+                .map(|(phase, at)| (phase.to_owned(), seconds(at))),
+        };
+        (id.clone(), times)
+    };
+    inner.accepted_at.iter().map(times).collect()
+}
+
 /// Returns the confirmed cancellations with times relative to the start `origin` of the run.
 fn cancellations(rules: &InvariantChecker, origin: Instant) -> Vec<ConfirmedCancellation> {
     let to_confirmed =
--- a/crates/jasperhill-testkit/src/scenario.rs
+++ b/crates/jasperhill-testkit/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Description of a simulated run: its workload, faults, limits and scale.
 
 use crate::faults::Fault;
+use serde_json::Value;
 
 /// Parameters of a simulated run.
 #[derive(Clone, Debug)]
@@ -45,6 +46,9 @@
     /// Number of arrays, gangs and services that are restricted to one given zone or must have all
     /// tasks in one zone.
     pub zone_bound_jobs: usize,
+    /// Requests of further jobs, which nobody cancels if their class is
+    /// [`crate::users::KEPT_CLASS`], and the seconds at which they are submitted.
+    pub submissions: Vec<(u64, Value)>,
     /// Time in seconds that a controller's session outlives its last renewal, as set by the
     /// operators; `None` if they set none.
     pub session_s: Option<u64>,
@@ -76,6 +80,7 @@
             long_tasks: None,
             uneven_arrays: 0,
             zone_bound_jobs: 0,
+            submissions: Vec::new(),
             session_s: None,
             without_freshness_bound: false,
         }
--- a/crates/jasperhill-testkit/src/users/mod.rs
+++ b/crates/jasperhill-testkit/src/users/mod.rs
@@ -19,6 +19,9 @@
 use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
+/// Class of jobs that no user cancels.
+pub const KEPT_CLASS: &str = "kept";
+
 /// Submits the jobs of a pipeline, each as soon as the one before it has been accepted, and watches
 /// every accepted job. Stops at the first job that is not accepted.
 pub async fn run_dependent_jobs(cluster: Rc<SimulatedCluster>, stages: Vec<Value>) {
@@ -80,7 +83,7 @@
     let submit = Request::new(Method::Post, "/v1/jobs", body.to_string().into_bytes());
     let class = body["jobclass"].as_str().unwrap_or_default();
     let cancel_at = match class {
-        "tiny" | "uneven" => None,
+        "tiny" | "uneven" | KEPT_CLASS => None,
         "broken" => Some(Instant::now() + Duration::from_secs(120)),
         "stage" => (cluster.draw(10) == 0)
             .then(|| Instant::now() + Duration::from_secs(2 + cluster.draw(30))),
--- a/crates/jasperhill-testkit/src/worker.rs
+++ b/crates/jasperhill-testkit/src/worker.rs
@@ -67,6 +67,8 @@
     pub token: u64,
     /// Tasks by id and attempt, including exited ones that have not been cleared.
     pub tasks: BTreeMap<(TaskId, u64), Task>,
+    /// Whether the machine fails every task that it starts.
+    pub is_sick: bool,
     /// Images on the machine's disk.
     pub images: BTreeSet<String>,
     /// Start of the lease: the time at which the last heartbeat with a valid answer was sent, or at
@@ -117,6 +119,7 @@
             sequence: 0,
             token: 0,
             tasks: BTreeMap::new(),
+            is_sick: false,
             images: BTreeSet::new(),
             lease_from: now,
             node,
@@ -304,7 +307,7 @@
 
     /// Advances the lease and the phases of all tasks to the present.
     ///
-    /// Two job classes behave differently: tasks of `broken` jobs exit with an error after the
+    /// All tasks fail on a sick machine. Two job classes behave differently: tasks of `broken` jobs exit with an error after the
     /// fetch, and each task of an `uneven` job runs longer than the one before.
     pub fn tick(
         &mut self,
@@ -323,7 +326,7 @@
             match phase_before {
                 Phase::Fetching(until) if now >= until => {
                     self.images.insert(job.image.as_str().to_owned());
-                    if job.class.as_str() == "broken" {
+                    if self.is_sick || job.class.as_str() == "broken" {
                         t.phase = Phase::Exited("error");
                         self.changed = true;
                         continue;
