--- a/crates/jasperhill-controller/src/heartbeats/registration.rs
+++ b/crates/jasperhill-controller/src/heartbeats/registration.rs
@@ -8,6 +8,7 @@
     shared::{Shared, to_duration},
     store::{WriteOutcome, WritePriority},
 };
+use jasperhill_scheduler::rental_plan::MachineOffer;
 use jasperhill_wire::{
     Micros,
     record::{HostAssignment, HostRecord, Role},
@@ -166,9 +167,14 @@
         };
         for heartbeat in heartbeats {
             leader.record_boot_completed(&heartbeat.host, self.now());
-            let partition_id =
-                capacity_needs.partition_most_in_need(&heartbeat.zone, heartbeat.spot);
-            capacity_needs.record_assignment(partition_id, &heartbeat.zone, heartbeat.spot);
+            let offer = MachineOffer {
+                machine_type: heartbeat.machine_type.clone(),
+                zone: heartbeat.zone.clone(),
+                spot: heartbeat.spot,
+            };
+            let partition_id = capacity_needs.partition_most_in_need(&offer);
+            capacity_needs.record_assignment(partition_id, &offer);
+            leader.record_assignment(partition_id, offer, self.now());
             let record = first_record(heartbeat, partition_id);
             let block = state.host_registry.assign_block(
                 &state.cache,
--- a/crates/jasperhill-controller/src/mesh.rs
+++ b/crates/jasperhill-controller/src/mesh.rs
@@ -9,7 +9,7 @@
 use jasperhill_http::{ClientError, Method, Request, Response};
 use jasperhill_wire::{
     Micros,
-    mesh::{MeshRequest, MeshResponse, decode, encode},
+    mesh::{MISSING_HOSTS_MAX, MeshRequest, MeshResponse, decode, encode},
 };
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::sleep;
@@ -171,10 +171,13 @@
             MeshRequest::UnmetDemand {
                 partition,
                 thousandths,
+                mut missing,
             } => {
                 if partition < self.settings.partition_count {
+                    missing.truncate(MISSING_HOSTS_MAX);
                     let unmet_demand = UnmetDemand {
                         hosts: f64::from(thousandths) / 1e3,
+                        missing,
                         received_at: self.now(),
                     };
                     self.state
--- a/crates/jasperhill-controller/src/provisioner/assignment.rs
+++ b/crates/jasperhill-controller/src/provisioner/assignment.rs
@@ -1,9 +1,6 @@
 //! Assignment of free hosts to partitions by the leader.
 
-use super::{
-    host_updates::{HeldRole, reassign},
-    inventory::PartitionInventory,
-};
+use super::host_updates::{HeldRole, reassign};
 use crate::{
     shared::Shared,
     state::State,
@@ -49,7 +46,7 @@
     fn plan_assignments(&self) -> Vec<PlannedReassignment> {
         let now = self.now();
         let mut state_guard = self.state.borrow_mut();
-        let mut inventory = self.inventory(&state_guard);
+        let mut capacity_needs = self.capacity_needs(&state_guard);
         let State {
             cache,
             commands,
@@ -67,15 +64,19 @@
         let mut planned = Vec::new();
         for (id, entry) in hosts.iter().filter(|(_, entry)| is_free(entry)) {
             let since = *leader.free_since.entry(id.clone()).or_insert(now);
-            let assignment = match partition_with_largest_shortage(&inventory) {
+            let offer = entry.offer();
+            let assignment = match capacity_needs.partition_for_free_host(&offer) {
                 Some(partition) => {
-                    inventory[partition].actual += 1;
-                    HostAssignment::Partition(partition as u32)
+                    capacity_needs.record_assignment(partition, &offer);
+                    HostAssignment::Partition(partition)
                 }
                 None if now - since > FREE_HOST_RETENTION => HostAssignment::Decommissioned(None),
                 None => continue,
             };
             if commands.hosts_with_record_update.insert(id.clone()) {
+                if let HostAssignment::Partition(partition) = assignment {
+                    leader.record_assignment(partition, offer, now);
+                }
                 planned.push(PlannedReassignment {
                     holder: HeldRole {
                         role: Role::Leader,
@@ -111,14 +112,3 @@
             .remove(&host);
     }
 }
-
-/// Returns the partition with the largest shortage of hosts for production and urgent work, then with
-/// the largest shortage overall. Returns `None` if that partition has no shortage.
-fn partition_with_largest_shortage(inventory: &[PartitionInventory]) -> Option<usize> {
-    let shortage = |partition: &usize| {
-        let hosts = &inventory[*partition];
-        (hosts.high_priority_shortage(), hosts.desired - hosts.actual)
-    };
-    let candidate = (0..inventory.len()).max_by_key(shortage);
-    candidate.filter(|p| inventory[*p].desired > inventory[*p].actual)
-}
--- a/crates/jasperhill-controller/src/provisioner/capacity_broadcast.rs
+++ b/crates/jasperhill-controller/src/provisioner/capacity_broadcast.rs
@@ -1,9 +1,9 @@
-//! Messages about capacity between controllers: owners report the demand of rejected jobs, and the
-//! leader reports by how many machines the fleet can still scale out.
+//! Messages about capacity between controllers: owners report what rejected and waiting jobs lack, and
+//! the leader reports by how many machines the fleet can still scale out.
 
-use super::state::{LeaderState, MachineOffer, SpareCapacity, UnmetDemand};
+use super::state::{LeaderState, SpareCapacity, UnmetDemand};
 use crate::{shared::Shared, state::State};
-use jasperhill_scheduler::config::Specs;
+use jasperhill_scheduler::{config::Specs, rental_plan::MachineOffer};
 use jasperhill_wire::{Micros, mesh::MeshRequest};
 use std::rc::Rc;
 
@@ -24,16 +24,17 @@
 const OFFERED_MACHINES_MIN: usize = 3;
 
 impl Shared {
-    /// Reports the demand of rejected jobs to the other controllers. Clients submit rejected jobs
-    /// again, so the fleet scales out for them as for accepted jobs.
+    /// Reports to the other controllers what rejected and waiting jobs lack. Clients submit rejected
+    /// jobs again, so the fleet scales out for them as for accepted jobs.
     pub(super) fn broadcast_unmet_demand(self: &Rc<Self>) {
         for message in self.record_unmet_demand() {
             self.broadcast(&message);
         }
     }
 
-    /// Records the demand of rejected jobs for each partition of this controller. Returns the messages
-    /// to the other controllers, one for each partition whose demand is or was not zero.
+    /// Records for each partition of this controller the claims of its waiting jobs and what its jobs
+    /// lack. Returns the messages to the other controllers, one for each partition whose jobs lack or
+    /// lacked something.
     fn record_unmet_demand(&self) -> Vec<MeshRequest> {
         let now = self.now();
         let mut messages = Vec::new();
@@ -43,25 +44,32 @@
             provisioning,
             ..
         } = &mut *state_guard;
-        for partition in scheduling.partitions.keys().copied() {
+        provisioning.claims.clear();
+        for (partition, owned) in &mut scheduling.partitions {
             let hosts: f64 = scheduling
                 .rejected_jobs
                 .values()
                 .filter(|job| {
-                    job.partition == partition && now - job.last_submitted < REJECTED_JOB_RETENTION
+                    job.partition == *partition && now - job.last_submitted < REJECTED_JOB_RETENTION
                 })
                 .map(|job| job.needed_hosts / REJECTED_DEMAND_DIVISOR)
                 .sum();
+            let claims = owned.capacity_claims(now);
             let demand = UnmetDemand {
                 hosts,
+                missing: claims.missing.clone(),
                 received_at: now,
             };
-            let previous = provisioning.unmet_demand.insert(partition, demand);
-            if hosts > 0.0 || previous.is_some_and(|demand| demand.hosts > 0.0) {
-                messages.push(MeshRequest::UnmetDemand {
-                    partition,
-                    thousandths: (hosts * THOUSANDTHS_PER_HOST) as u32,
-                });
+            provisioning.claims.insert(*partition, claims);
+            let is_reported = !demand.is_empty();
+            let message = MeshRequest::UnmetDemand {
+                partition: *partition,
+                thousandths: (hosts * THOUSANDTHS_PER_HOST) as u32,
+                missing: demand.missing.clone(),
+            };
+            let previous = provisioning.unmet_demand.insert(*partition, demand);
+            if is_reported || previous.is_some_and(|demand| !demand.is_empty()) {
+                messages.push(message);
             }
         }
         messages
--- a/crates/jasperhill-controller/src/provisioner/decommission.rs
+++ b/crates/jasperhill-controller/src/provisioner/decommission.rs
@@ -3,7 +3,7 @@
 
 use super::{
     host_updates::{HeldRole, reassign},
-    inventory::PartitionInventory,
+    inventory::{MISSING_TOO_LONG, PartitionInventory},
 };
 use crate::{
     shared::Shared,
@@ -11,7 +11,10 @@
     store::{WriteOutcome, WritePriority},
     watch_cache::HostEntry,
 };
-use jasperhill_scheduler::{FencingState, Host, Partition};
+use jasperhill_scheduler::{
+    CapacityClaims, FencingState, Host, Partition,
+    rental_plan::{MachineOffer, PartitionMissing},
+};
 use jasperhill_wire::{
     HostId, Micros,
     record::{HostAssignment, Role},
@@ -24,6 +27,9 @@
 /// Time for which a host must have been spare before it is given up while any partition is short of
 /// hosts.
 const SPARE_RETENTION_IN_SHORTAGE: Micros = Micros::from_secs(1);
+/// Time for which a host must have been idle before it is given to another partition whose jobs have
+/// lacked it for too long, although its own partition has no more hosts than it should.
+const IDLE_BEFORE_MOVE: Micros = Micros::from_secs(10);
 /// Time after the expiry of a host's lease until the host counts as lost, so that a short network
 /// failure does not cost the host.
 const LOST_AFTER_LEASE_EXPIRY: Micros = Micros::from_secs(30);
@@ -60,6 +66,39 @@
     lost_after: Micros,
 }
 
+/// Capacity that waiting jobs need, of one partition and of the others.
+struct WaitingNeeds<'a> {
+    /// Claims of the partition's own jobs.
+    own: &'a CapacityClaims,
+    /// Hosts that jobs of all partitions lack, for the job first that has lacked hosts for longest.
+    missing: &'a mut Vec<PartitionMissing>,
+}
+
+impl WaitingNeeds<'_> {
+    /// Returns for how long a job of another partition has lacked hosts of this kind; `None` if
+    /// there is no such job.
+    fn missing_elsewhere_for(&self, partition: u32, host: &Host) -> Option<Micros> {
+        let is_missing = |entry: &&PartitionMissing| {
+            let missing = &entry.missing;
+            entry.partition != partition
+                && missing.allows_host(&host.spec.machine_type, &host.zone, host.spot)
+        };
+        let entry = self.missing.iter().find(is_missing)?;
+        Some(entry.missing.missing_for)
+    }
+
+    /// Removes the first entry of another partition that a host of this kind serves, so that it takes
+    /// one host in a round.
+    fn remove_served(&mut self, partition: u32, offer: &MachineOffer) {
+        let is_served = |entry: &PartitionMissing| {
+            entry.partition != partition && offer.is_among(&entry.missing)
+        };
+        if let Some(served) = self.missing.iter().position(is_served) {
+            self.missing.remove(served);
+        }
+    }
+}
+
 impl Shared {
     /// Gives up hosts of this controller's partitions that are surplus, lost or unhealthy. The
     /// scheduler stops using such a host before the write, and uses it again only after its record
@@ -82,59 +121,67 @@
             return planned;
         }
         let mut inventory = self.inventory(&state_guard);
-        let is_any_partition_short = inventory.iter().any(|p| p.desired > p.actual);
-        let criteria = DecommissionCriteria {
-            now,
-            is_any_partition_short,
-            spare_retention: if is_any_partition_short {
-                SPARE_RETENTION_IN_SHORTAGE
-            } else {
-                self.settings.operator.tuning.idle_retention
-            },
-            lost_after: self.scheduler_config.lease_expiry() + LOST_AFTER_LEASE_EXPIRY,
-        };
+        let criteria = self.decommission_criteria(&inventory, now);
+        let mut missing = state_guard.provisioning.missing_hosts(now);
         let State {
             cache,
             scheduling,
             commands,
+            provisioning,
             ..
         } = &mut *state_guard;
+        let no_claims = CapacityClaims::default();
         for (number, partition) in &mut scheduling.partitions {
             let Some(hosts) = inventory.get_mut(*number as usize) else {
                 continue;
             };
-            drain_surplus(partition, hosts, now);
+            let own = provisioning.claims.get(number).unwrap_or(&no_claims);
+            drain_surplus(partition, hosts, own, now);
             let ids: Vec<HostId> = partition.hosts.keys().cloned().collect();
             for id in ids {
-                if commands.hosts_with_record_update.contains(&id) {
-                    continue;
-                }
-                let Some(assignment) = next_assignment(partition, &id, hosts, &criteria) else {
+                let Some(entry) = cache.hosts.get(&id) else {
                     continue;
                 };
-                let Some(entry) = cache.hosts.get(&id) else {
+                let mut needs = WaitingNeeds {
+                    own,
+                    missing: &mut missing,
+                };
+                let next = next_assignment(partition, &id, hosts, &criteria, &needs);
+                let Some(assignment) = next else {
                     continue;
                 };
+                if !commands.hosts_with_record_update.insert(id.clone()) {
+                    continue;
+                }
                 hosts.remove_host(entry.value.spot);
-                commands.hosts_with_record_update.insert(id.clone());
-                if let Some(host) = partition.hosts.get_mut(&id) {
-                    host.assignment = assignment;
+                if assignment == HostAssignment::Free {
+                    needs.remove_served(*number, &entry.offer());
                 }
-                planned.push(PlannedDecommission {
-                    partition: *number,
-                    holder: HeldRole {
-                        role: Role::Partition(*number),
-                        since: partition.owned_since,
-                    },
-                    host: id,
-                    entry: entry.clone(),
-                    assignment,
-                });
+                planned.push(plan_decommission(partition, &id, entry, assignment));
             }
         }
         planned
     }
 
+    /// Returns the criteria for giving up hosts in this round.
+    fn decommission_criteria(
+        &self,
+        inventory: &[PartitionInventory],
+        now: Micros,
+    ) -> DecommissionCriteria {
+        let is_any_partition_short = inventory.iter().any(|p| p.desired > p.actual);
+        DecommissionCriteria {
+            now,
+            is_any_partition_short,
+            spare_retention: if is_any_partition_short {
+                SPARE_RETENTION_IN_SHORTAGE
+            } else {
+                self.settings.operator.tuning.idle_retention
+            },
+            lost_after: self.scheduler_config.lease_expiry() + LOST_AFTER_LEASE_EXPIRY,
+        }
+    }
+
     /// Writes a planned decommission, and reclaims the host if the write is not known to be committed.
     async fn write_decommission(self: &Rc<Self>, planned: PlannedDecommission) {
         let PlannedDecommission {
@@ -195,17 +242,50 @@
     }
 }
 
+/// Takes a host out of scheduling under its new assignment, and returns the write of its record.
+fn plan_decommission(
+    partition: &mut Partition,
+    id: &HostId,
+    entry: &HostEntry,
+    assignment: HostAssignment,
+) -> PlannedDecommission {
+    if let Some(host) = partition.hosts.get_mut(id) {
+        host.assignment = assignment;
+    }
+    PlannedDecommission {
+        partition: partition.id,
+        holder: HeldRole {
+            role: Role::Partition(partition.id),
+            since: partition.owned_since,
+        },
+        host: id.clone(),
+        entry: entry.clone(),
+        assignment,
+    }
+}
+
 /// Drains a part of a partition's surplus hosts. The surplus is not drained at once because the
 /// desired number of hosts fluctuates, and a replica that moves is briefly unavailable.
-fn drain_surplus(partition: &mut Partition, hosts: &PartitionInventory, now: Micros) {
+/// While jobs lack hosts none is drained, and hosts that are kept for waiting jobs are no surplus.
+fn drain_surplus(
+    partition: &mut Partition,
+    hosts: &PartitionInventory,
+    claims: &CapacityClaims,
+    now: Micros,
+) {
+    if !claims.missing.is_empty() {
+        partition.drain_surplus(now, (0, 0));
+        return;
+    }
+    let kept = claims.kept.len() as i64;
     let portion = |surplus: i64| {
         usize::try_from(surplus)
             .unwrap_or(0)
             .div_ceil(DRAIN_DIVISOR)
     };
     let surplus = (
-        portion(hosts.actual - hosts.desired),
-        portion(hosts.actual_on_demand - hosts.desired_on_demand),
+        portion(hosts.actual - hosts.desired - kept),
+        portion(hosts.actual_on_demand - hosts.desired_on_demand - kept),
     );
     partition.drain_surplus(now, surplus);
 }
@@ -216,6 +296,7 @@
     id: &HostId,
     hosts: &PartitionInventory,
     criteria: &DecommissionCriteria,
+    waiting: &WaitingNeeds<'_>,
 ) -> Option<HostAssignment> {
     let host = partition.hosts.get(id)?;
     if !matches!(host.assignment, HostAssignment::Partition(_)) {
@@ -226,15 +307,26 @@
     {
         return Some(HostAssignment::Decommissioned(None));
     }
+    if waiting.own.kept.contains(id) {
+        return None;
+    }
     let surplus = hosts.actual > hosts.desired
         && (host.spot || hosts.actual_on_demand > hosts.desired_on_demand);
-    if !surplus || !partition.is_returnable(id, criteria.now, criteria.spare_retention) {
+    let missing_for = waiting.missing_elsewhere_for(partition.id, host);
+    let is_missing_too_long = missing_for.is_some_and(|time| time >= MISSING_TOO_LONG);
+    let retention = match (surplus, missing_for) {
+        (true, None) => criteria.spare_retention,
+        (true, Some(_)) => SPARE_RETENTION_IN_SHORTAGE,
+        (false, _) if is_missing_too_long => IDLE_BEFORE_MOVE,
+        (false, _) => return None,
+    };
+    if !partition.is_returnable(id, criteria.now, retention) {
         return None;
     }
-    if criteria.is_any_partition_short {
+    if criteria.is_any_partition_short || missing_for.is_some() {
         Some(HostAssignment::Free)
     } else {
-        // No partition is short of hosts, so the leader need not reassign this one.
+        // No partition needs this host, so the leader need not reassign it.
         Some(HostAssignment::Decommissioned(None))
     }
 }
--- a/crates/jasperhill-controller/src/provisioner/inventory.rs
+++ b/crates/jasperhill-controller/src/provisioner/inventory.rs
@@ -6,13 +6,11 @@
     autoscaler::{CapacityDemand, JobDemand, plan},
     config::Specs,
     dependencies::DependencyState,
+    rental_plan::{MachineOffer, PartitionMissing},
 };
 use jasperhill_wire::{JobId, Micros, Name, record::HostAssignment};
 use std::{cmp::Reverse, collections::BTreeMap};
 
-/// Time for which an owner's report of unmet demand is valid. Owners report every second.
-const UNMET_DEMAND_MAX_AGE: Micros = Micros::from_secs(8);
-
 /// Numbers of hosts that a partition should have and has.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct PartitionInventory {
@@ -54,8 +52,14 @@
     zone: Name,
 }
 
+/// Time for which a job must have lacked hosts until a host that it may use goes to its partition
+/// before all others, and is taken from a partition that keeps it idle.
+pub(super) const MISSING_TOO_LONG: Micros = Micros::from_secs(45);
+
 /// Capacity that the partitions lack, updated as machines are assigned to them.
 pub(crate) struct CapacityNeeds {
+    /// Hosts that waiting jobs lack, for the job first that has lacked hosts for longest.
+    missing: Vec<PartitionMissing>,
     /// Inventory of each partition, indexed by partition.
     inventory: Vec<PartitionInventory>,
     /// Number of hosts of each partition in each zone.
@@ -63,25 +67,26 @@
 }
 
 impl CapacityNeeds {
-    /// Returns the partition that benefits most from a machine. Partitions are ranked by their
-    /// shortage for production and urgent work, then by whether they have any shortage, then by
-    /// fewest hosts in the zone, so that replicas can be spread, and then by the size of their
-    /// shortage. Returns partition 0 if the inventory is empty.
-    pub fn partition_most_in_need(&self, zone: &Name, spot: bool) -> u32 {
+    /// Returns the partition that benefits most from a machine. Partitions are ranked by whether a
+    /// job that may use the machine has lacked hosts for too long, by their shortage for production
+    /// and urgent work, by whether any job that may use the machine lacks hosts, by whether they
+    /// have any shortage, then by fewest hosts in the zone, so that replicas can be spread, and then
+    /// by the size of their shortage. Returns partition 0 if the inventory is empty.
+    pub fn partition_most_in_need(&self, offer: &MachineOffer) -> u32 {
         let host_count_in_zone = |partition: u32| {
-            let zone = zone.clone();
+            let zone = offer.zone.clone();
             let key = PartitionZone { partition, zone };
             self.hosts_in_zone.get(&key).copied().unwrap_or(0)
         };
         let need_rank = |(partition, hosts): &(u32, &PartitionInventory)| {
-            let on_demand = if spot {
+            let on_demand = if offer.spot {
                 0
             } else {
                 (hosts.desired_on_demand - hosts.actual_on_demand).max(0)
             };
             let shortage = (hosts.desired - hosts.actual).max(0);
             (
-                hosts.high_priority_shortage(),
+                self.missing_rank(*partition, hosts, offer),
                 (shortage > 0, -host_count_in_zone(*partition)),
                 shortage,
                 on_demand,
@@ -93,12 +98,66 @@
         most_in_need.map_or(0, |(partition, _)| partition)
     }
 
-    /// Records that a machine in `zone` was assigned to a partition.
-    pub fn record_assignment(&mut self, partition: u32, zone: &Name, spot: bool) {
+    /// Returns the partition that a free host is assigned to, or `None` if none needs it. Partitions
+    /// are ranked as in [`Self::partition_most_in_need`], but by the size of their shortage alone if
+    /// no job lacks this host.
+    pub fn partition_for_free_host(&self, offer: &MachineOffer) -> Option<u32> {
+        let need_rank = |(partition, hosts): &(u32, &PartitionInventory)| {
+            let missing_rank = self.missing_rank(*partition, hosts, offer);
+            (missing_rank, hosts.desired - hosts.actual)
+        };
+        let partitions = (0..).zip(&self.inventory);
+        let (partition, hosts) = partitions.max_by_key(need_rank)?;
+        let is_missing = self.missing_for(partition, offer).is_some();
+        (is_missing || hosts.desired > hosts.actual).then_some(partition)
+    }
+
+    /// Returns the rank of a partition by the jobs that lack this machine and by its shortage for
+    /// production and urgent work.
+    fn missing_rank(
+        &self,
+        partition: u32,
+        hosts: &PartitionInventory,
+        offer: &MachineOffer,
+    ) -> (bool, i64, bool) {
+        let missing_for = self.missing_for(partition, offer);
+        let is_missing_too_long = missing_for.is_some_and(|time| time >= MISSING_TOO_LONG);
+        (
+            is_missing_too_long,
+            hosts.high_priority_shortage(),
+            missing_for.is_some(),
+        )
+    }
+
+    /// Returns for how long a job of the partition that may use this machine has lacked hosts; `None`
+    /// if there is no such job.
+    fn missing_for(&self, partition: u32, offer: &MachineOffer) -> Option<Micros> {
+        let is_missing = |entry: &&PartitionMissing| {
+            entry.partition == partition && offer.is_among(&entry.missing)
+        };
+        let entry = self.missing.iter().find(is_missing)?;
+        Some(entry.missing.missing_for)
+    }
+
+    /// Records that a machine was assigned to a partition.
+    pub fn record_assignment(&mut self, partition: u32, offer: &MachineOffer) {
         if let Some(hosts) = self.inventory.get_mut(partition as usize) {
-            hosts.add_host(spot);
+            hosts.add_host(offer.spot);
         }
-        let zone = zone.clone();
+        let is_served = |entry: &PartitionMissing| {
+            entry.partition == partition && offer.is_among(&entry.missing)
+        };
+        if let Some(served) = self.missing.iter().position(is_served) {
+            let zones = &mut self.missing[served].missing.zones;
+            let in_zone = zones
+                .iter_mut()
+                .filter(|in_zone| in_zone.zone == offer.zone);
+            in_zone.for_each(|in_zone| in_zone.hosts = in_zone.hosts.saturating_sub(1));
+            if zones.iter().any(|in_zone| in_zone.hosts == 0) {
+                self.missing.remove(served);
+            }
+        }
+        let zone = offer.zone.clone();
         let key = PartitionZone { partition, zone };
         *self.hosts_in_zone.entry(key).or_default() += 1;
     }
@@ -186,10 +245,8 @@
             let expected = provisioning
                 .forecast
                 .expected(partition, boot_time, start_within, now);
-            let unmet = match provisioning.unmet_demand.get(&partition) {
-                Some(unmet) if now - unmet.received_at < UNMET_DEMAND_MAX_AGE => unmet.hosts,
-                _ => 0.0,
-            };
+            let unmet = provisioning.unmet_demand_of(partition, now);
+            let unmet = unmet.map_or(0.0, |unmet| unmet.hosts);
             let floor = tuning.min_machines_of(partition, self.settings.partition_count);
             PartitionInventory {
                 desired: tuning.desired_machines(demand.total(), expected + unmet, floor),
@@ -202,8 +259,8 @@
         (0..).zip(planned).map(desired).collect()
     }
 
-    /// Returns the capacity that the partitions lack, for the assignment of new machines. Called for
-    /// heartbeats of machines without a record.
+    /// Returns the capacity that the partitions lack, for the assignment of new machines and of free
+    /// hosts.
     pub fn capacity_needs(&self, state: &State) -> CapacityNeeds {
         let mut hosts_in_zone: BTreeMap<PartitionZone, i64> = BTreeMap::new();
         for entry in state.cache.hosts.values() {
@@ -214,6 +271,7 @@
             }
         }
         CapacityNeeds {
+            missing: state.provisioning.missing_hosts(self.now()),
             inventory: self.inventory(state),
             hosts_in_zone,
         }
--- a/crates/jasperhill-controller/src/provisioner/reconciliation.rs
+++ b/crates/jasperhill-controller/src/provisioner/reconciliation.rs
@@ -1,14 +1,14 @@
 //! Reconciliation of the leader's inventory with the cloud's list of machines: deletes the records of
 //! machines that no longer exist, and marks machines for return that never become usable.
 
-use super::state::{BootingMachine, LeaderState, MachineOffer, ProvisioningState};
+use super::state::{BootingMachine, LeaderState, ProvisioningState};
 use crate::{
     shared::Shared,
     state::State,
     watch_cache::{HostEntry, WatchCache},
 };
 use jasperhill_http::Method;
-use jasperhill_scheduler::{boot_times::BootTimes, config::Specs};
+use jasperhill_scheduler::{boot_times::BootTimes, config::Specs, rental_plan::MachineOffer};
 use jasperhill_wire::{
     HostId, Micros,
     cloud::{Machine, MachineList, MachinePhase},
--- a/crates/jasperhill-controller/src/provisioner/scale_out.rs
+++ b/crates/jasperhill-controller/src/provisioner/scale_out.rs
@@ -3,11 +3,17 @@
 
 use super::{
     inventory::PartitionInventory,
-    state::{BootingMachine, BootingSupply, LeaderState, MachineOffer},
+    state::{BootingMachine, BootingSupply, LeaderState},
+};
+use crate::{
+    shared::Shared,
+    watch_cache::{HostEntry, WatchCache},
 };
-use crate::{shared::Shared, watch_cache::WatchCache};
 use jasperhill_http::{Method, Response};
-use jasperhill_scheduler::config::Specs;
+use jasperhill_scheduler::{
+    config::Specs,
+    rental_plan::{ExpectedMachine, MachineOffer, Rental, next_rental},
+};
 use jasperhill_wire::{
     Micros, Name,
     cloud::{HostNames, RentRequest},
@@ -153,7 +159,8 @@
         }
     }
 
-    /// Returns the next rental: the pending one if there is any, else a new one if machines are short.
+    /// Returns the next rental: the pending one if there is any, else a new one if waiting jobs lack
+    /// hosts or machines are short.
     /// Returns `None` before the first complete machine list of this leadership.
     fn next_rental(&self) -> Option<RentRequest> {
         let now = self.now();
@@ -161,6 +168,7 @@
         let inventory = self.inventory(&state_guard);
         let state = &mut *state_guard;
         let specs = state.scheduling.machine_types.clone()?;
+        let missing = state.provisioning.missing_hosts(now);
         let leader = state.provisioning.leader.as_mut()?;
         if let Some(rental) = &leader.pending_rental {
             return Some(rental.clone());
@@ -170,17 +178,34 @@
         }
         let hosts = &state.cache.hosts;
         let is_free = |assignment| assignment == HostAssignment::Free;
-        let free_hosts = hosts.values().filter(|e| is_free(e.value.assignment));
-        let booting = leader.booting_supply(&specs, hosts.len(), now);
-        let shortage = Shortage::new(&inventory, booting, free_hosts.count() as i64);
+        let free_hosts: Vec<&HostEntry> = hosts
+            .values()
+            .filter(|e| is_free(e.value.assignment))
+            .collect();
         leader.exhausted_offers.retain(|_, until| *until > now);
+        let mut expected = leader.expected_machines(&specs, hosts.len(), now);
+        expected.extend(free_hosts.iter().map(|entry| ExpectedMachine {
+            offer: entry.offer(),
+            partition: None,
+        }));
+        let is_offered = |offer: &MachineOffer| {
+            let spec = specs.get(&offer.machine_type);
+            spec.is_some_and(|spec| spec.zones.contains(&offer.zone))
+                && !leader.exhausted_offers.contains_key(offer)
+        };
+        if let Some(Rental { offer, count }) = next_rental(&missing, &expected, is_offered) {
+            return Some(leader.begin_rental(offer, count));
+        }
+        let booting = leader.booting_supply(&specs, hosts.len(), now);
+        let shortage = Shortage::new(&inventory, booting, free_hosts.len() as i64);
         let orders = shortage.orders();
         let (count, offer) = orders
             .into_iter()
             .filter(|rental_order| rental_order.count > 0)
             .find_map(|rental_order| {
                 let offer = best_offer(leader, &state.cache, &specs, rental_order.spot)?;
-                Some((rental_order.count as u32, offer))
+                // Rent half of the shortage, so that the next rental can go to another zone.
+                Some(((rental_order.count as u32).div_ceil(2), offer))
             })?;
         Some(leader.begin_rental(offer, count))
     }
@@ -215,22 +240,17 @@
 }
 
 impl LeaderState {
-    /// Creates a new rental and stores it as the pending one, which is retried until its outcome is
-    /// known. `shortage` is the number of machines that are short.
-    fn begin_rental(&mut self, offer: MachineOffer, shortage: u32) -> RentRequest {
+    /// Creates a new rental of up to `count` machines and stores it as the pending one, which is
+    /// retried until its outcome is known.
+    fn begin_rental(&mut self, offer: MachineOffer, count: u32) -> RentRequest {
         self.rental_count += 1;
-        // Rent half of the shortage, so that the next rental can go to another zone.
-        let count = shortage
-            .div_ceil(2)
-            .clamp(1, MACHINES_PER_RENTAL_MAX)
-            .min(shortage);
         let rental = RentRequest {
             // Unique name from the revision of this leadership and a counter.
             request: format!("r-{}-{}", self.leader_since_revision, self.rental_count),
             machine_type: offer.machine_type,
             zone: offer.zone,
             spot: offer.spot,
-            count,
+            count: count.clamp(1, MACHINES_PER_RENTAL_MAX),
         };
         self.pending_rental = Some(rental.clone());
         rental
--- a/crates/jasperhill-controller/src/provisioner/state.rs
+++ b/crates/jasperhill-controller/src/provisioner/state.rs
@@ -4,15 +4,24 @@
 
 use crate::{settings::Settings, token_bucket::TokenBucket};
 use jasperhill_scheduler::{
+    CapacityClaims,
     autoscaler::DemandForecast,
     boot_times::{BootTimes, max_late_replacements},
-    config::{MachineSpec, Specs},
+    config::Specs,
+    rental_plan::{ExpectedMachine, MachineOffer, PartitionMissing},
+};
+use jasperhill_wire::{HostId, Micros, Revision, cloud::RentRequest, mesh::MissingHosts};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
 };
-use jasperhill_wire::{HostId, Micros, Name, Revision, cloud::RentRequest};
-use std::collections::{BTreeMap, BTreeSet};
 
 /// Fraction of the cloud's rate limit that the leader, its only regular caller, uses.
 const CLOUD_RATE_SHARE: f64 = 0.8;
+/// Time for which an owner's report of unmet demand is valid. Owners report every second.
+const UNMET_DEMAND_MAX_AGE: Micros = Micros::from_secs(8);
+/// Time after which an owner's reports count a host that was assigned to its partition.
+const ASSIGNMENT_REPORT_DELAY: Micros = Micros::from_secs(5);
 /// Assumed age of the last machine list at the start of a leadership. Longer than any interval
 /// between lists, so that a new leader requests a list at once.
 const INITIAL_LIST_AGE: Micros = Micros::from_secs(3_000);
@@ -25,23 +34,34 @@
     pub request_limiter: TokenBucket,
     /// Machines that the leader is to return to the cloud.
     pub machines_to_return: BTreeSet<HostId>,
-    /// Hosts that recently rejected jobs would need, by partition.
+    /// Capacity that recently rejected jobs and waiting jobs lack, by partition.
     pub unmet_demand: BTreeMap<u32, UnmetDemand>,
+    /// Claims of the waiting jobs in this controller's partitions, by partition.
+    pub claims: BTreeMap<u32, CapacityClaims>,
     /// Forecast of demand from recently submitted jobs.
     pub forecast: DemandForecast,
     /// The spare capacity last reported by the leader; `None` if none was reported yet.
     pub spare_capacity: Option<SpareCapacity>,
 }
 
-/// Demand of the rejected jobs of a partition.
-#[derive(Clone, Copy, Debug)]
+/// Capacity that the rejected and waiting jobs of a partition lack, as its owner reported it.
+#[derive(Clone, Debug)]
 pub(crate) struct UnmetDemand {
-    /// Hosts that the jobs would need, possibly a fraction.
+    /// Hosts that the rejected jobs would need, possibly a fraction.
     pub hosts: f64,
+    /// Hosts that waiting jobs lack.
+    pub missing: Vec<MissingHosts>,
     /// When this controller learned of the demand, by the steady clock.
     pub received_at: Micros,
 }
 
+impl UnmetDemand {
+    /// Returns whether no job lacks anything.
+    pub fn is_empty(&self) -> bool {
+        self.hosts <= 0.0 && self.missing.is_empty()
+    }
+}
+
 /// Machines that are booting or are assumed to be rentable.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SpareCapacity {
@@ -62,34 +82,31 @@
             request_limiter: TokenBucket::new(rate * CLOUD_RATE_SHARE, rate, now),
             machines_to_return: BTreeSet::new(),
             unmet_demand: BTreeMap::new(),
+            claims: BTreeMap::new(),
             forecast: DemandForecast::new(now),
             spare_capacity: None,
         }
     }
-}
 
-/// A kind of machine that can be rented: a machine type in a zone, as spot or on-demand machine.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct MachineOffer {
-    /// Name of the machine type.
-    pub machine_type: Name,
-    /// Name of the zone.
-    pub zone: Name,
-    /// True for spot machines, false for on-demand machines.
-    pub spot: bool,
-}
+    /// Returns what the owner of a partition last reported as unmet, unless that is too old.
+    pub fn unmet_demand_of(&self, partition: u32, now: Micros) -> Option<&UnmetDemand> {
+        let unmet = self.unmet_demand.get(&partition)?;
+        (now - unmet.received_at < UNMET_DEMAND_MAX_AGE).then_some(unmet)
+    }
 
-impl MachineOffer {
-    /// Returns the offers of a machine type, one for each of its zones.
-    pub(super) fn offers_of_type(
-        spec: &MachineSpec,
-        spot: bool,
-    ) -> impl Iterator<Item = Self> + '_ {
-        spec.zones.iter().map(move |zone| Self {
-            machine_type: spec.machine_type.clone(),
-            zone: zone.clone(),
-            spot,
-        })
+    /// Returns the hosts that waiting jobs of all partitions lack, for the job first that has lacked
+    /// hosts for longest.
+    pub fn missing_hosts(&self, now: Micros) -> Vec<PartitionMissing> {
+        let partitions = self.unmet_demand.keys();
+        let reports = partitions.filter_map(|p| Some((*p, self.unmet_demand_of(*p, now)?)));
+        let mut missing: Vec<PartitionMissing> = reports
+            .flat_map(|(partition, unmet)| {
+                let entries = unmet.missing.iter().cloned();
+                entries.map(move |missing| PartitionMissing { partition, missing })
+            })
+            .collect();
+        missing.sort_by_key(|entry| Reverse(entry.missing.missing_for));
+        missing
     }
 }
 
@@ -134,6 +151,9 @@
     pub(super) has_machine_list: bool,
     /// The time since which each free host has been free, by the steady clock.
     pub(super) free_since: BTreeMap<HostId, Micros>,
+    /// Hosts that were given to partitions lately, and when. The owners' reports may not count them
+    /// yet.
+    recently_assigned: Vec<(ExpectedMachine, Micros)>,
     /// Machines that were returned to the cloud, and when. The machine list may still show them.
     pub(super) returned: BTreeMap<HostId, Micros>,
 }
@@ -152,6 +172,7 @@
             listed_at: now - INITIAL_LIST_AGE,
             has_machine_list: false,
             free_since: BTreeMap::new(),
+            recently_assigned: Vec::new(),
             returned: BTreeMap::new(),
         }
     }
@@ -173,21 +194,37 @@
         self.booting.contains_key(id) && !self.returned.contains_key(id)
     }
 
-    /// Returns the numbers of booting machines that count as supply. Late machines do not count, so
-    /// that others are rented in their place. The number of late machines left out is limited
-    /// according to `host_count`, the current number of hosts: this bounds the cost if all late
-    /// machines come up after all.
+    /// Returns the booting machines that count as supply. Late machines do not count, so that others
+    /// are rented in their place. The number of late machines left out is limited according to
+    /// `host_count`, the current number of hosts: this bounds the cost if all late machines come up
+    /// after all.
+    pub(super) fn booting_in_time<'a>(
+        &'a self,
+        specs: &'a Specs,
+        host_count: usize,
+        now: Micros,
+    ) -> impl Iterator<Item = &'a MachineOffer> {
+        let mut late = 0;
+        let machines = self.booting.values().filter(move |machine| {
+            let is_left_out =
+                late < max_late_replacements(host_count) && self.is_late(machine, specs, now);
+            late += usize::from(is_left_out);
+            !is_left_out
+        });
+        machines.map(|machine| &machine.offer)
+    }
+
+    /// Returns the numbers of booting machines that count as supply; see
+    /// [`Self::booting_in_time`].
     pub(super) fn booting_supply(
         &self,
         specs: &Specs,
         host_count: usize,
         now: Micros,
     ) -> BootingSupply {
-        let (mut spot, mut on_demand, mut late) = (0, 0, 0);
-        for machine in self.booting.values() {
-            if late < max_late_replacements(host_count) && self.is_late(machine, specs, now) {
-                late += 1;
-            } else if machine.offer.spot {
+        let (mut spot, mut on_demand) = (0, 0);
+        for offer in self.booting_in_time(specs, host_count, now) {
+            if offer.spot {
                 spot += 1;
             } else {
                 on_demand += 1;
@@ -196,6 +233,38 @@
         BootingSupply { spot, on_demand }
     }
 
+    /// Records that a machine of this kind was given to a partition.
+    pub(crate) fn record_assignment(&mut self, partition: u32, offer: MachineOffer, now: Micros) {
+        let machine = ExpectedMachine {
+            offer,
+            partition: Some(partition),
+        };
+        self.recently_assigned
+            .retain(|(_, at)| now - *at < ASSIGNMENT_REPORT_DELAY);
+        self.recently_assigned.push((machine, now));
+    }
+
+    /// Returns the machines that will serve missing hosts although the owners' reports do not count
+    /// them: machines that boot, and hosts that were assigned lately.
+    pub(super) fn expected_machines(
+        &self,
+        specs: &Specs,
+        host_count: usize,
+        now: Micros,
+    ) -> Vec<ExpectedMachine> {
+        let recently_assigned = self.recently_assigned.iter();
+        let assigned = recently_assigned.filter(|(_, at)| now - *at < ASSIGNMENT_REPORT_DELAY);
+        let booting = self.booting_in_time(specs, host_count, now);
+        let unassigned = |offer: &MachineOffer| ExpectedMachine {
+            offer: offer.clone(),
+            partition: None,
+        };
+        assigned
+            .map(|(machine, _)| machine.clone())
+            .chain(booting.map(unassigned))
+            .collect()
+    }
+
     /// Returns whether a machine has been booting for longer than its type usually takes in its
     /// zone. False for an unknown machine type.
     fn is_late(&self, machine: &BootingMachine, specs: &Specs, now: Micros) -> bool {
--- a/crates/jasperhill-controller/src/watch_cache/entries.rs
+++ b/crates/jasperhill-controller/src/watch_cache/entries.rs
@@ -2,6 +2,7 @@
 //! data types and helpers; only [`super::WatchCache`] changes the entries.
 
 use super::changes::Change;
+use jasperhill_scheduler::rental_plan::MachineOffer;
 use jasperhill_wire::{
     Micros, Revision,
     record::{HostRecord, RecordPhase},
@@ -33,6 +34,17 @@
     pub block: u32,
 }
 
+impl HostEntry {
+    /// Returns the kind of the machine.
+    pub fn offer(&self) -> MachineOffer {
+        MachineOffer {
+            machine_type: self.value.machine_type.clone(),
+            zone: self.value.zone.clone(),
+            spot: self.value.spot,
+        }
+    }
+}
+
 /// Cached state of a job: all data of an unfinished job, or a summary of a finished one.
 #[derive(Clone, Debug)]
 pub enum JobEntry {
--- a/crates/jasperhill-scheduler/src/cycle/mod.rs
+++ b/crates/jasperhill-scheduler/src/cycle/mod.rs
@@ -6,6 +6,7 @@
 //! the hosts as the cycle has left it and the results cached for the duration of the cycle.
 
 pub(crate) mod admission;
+mod capacity_claims;
 pub(crate) mod context;
 mod drain;
 mod gang;
@@ -17,6 +18,8 @@
 #[cfg(test)]
 mod tests;
 
+pub use capacity_claims::CapacityClaims;
+
 use crate::{
     cycle::context::{Cycle, HostSlot},
     cycle::team_quota::LimitUsage,
--- a/crates/jasperhill-scheduler/src/cycle/placement.rs
+++ b/crates/jasperhill-scheduler/src/cycle/placement.rs
@@ -136,8 +136,13 @@
 
     /// Returns whether one more task may go to this zone.
     pub fn allows(&self, zone: &Name) -> bool {
+        self.remaining(zone) > 0
+    }
+
+    /// Returns how many more tasks may go to this zone; [`u32::MAX`] without a zone constraint.
+    pub fn remaining(&self, zone: &Name) -> u32 {
         let Some(max_per_zone) = self.max_per_zone else {
-            return true;
+            return u32::MAX;
         };
         if self.one_zone
             && (self.has_unknown_zone
@@ -147,13 +152,10 @@
                     .any(|(other, tasks)| other != zone && *tasks > 0))
         {
             // A task of the job is in another zone, or in an unknown one.
-            return false;
+            return 0;
         }
-        self.tasks_by_zone
-            .iter()
-            .find(|(other, _)| other == zone)
-            .map_or(0, |(_, tasks)| *tasks)
-            < max_per_zone
+        let in_zone = self.tasks_by_zone.iter().find(|(other, _)| other == zone);
+        max_per_zone.saturating_sub(in_zone.map_or(0, |(_, tasks)| *tasks))
     }
 }
 
--- a/crates/jasperhill-scheduler/src/lib.rs
+++ b/crates/jasperhill-scheduler/src/lib.rs
@@ -15,12 +15,15 @@
 pub mod pace;
 pub mod partition;
 pub mod recovery;
+pub mod rental_plan;
 mod reservation_window;
 pub mod schedule_simulation;
 pub mod sharding;
 pub mod starvation;
 pub mod task_set;
 
+pub use cycle::CapacityClaims;
+
 pub use config::{MachineSpec, SchedulerConfig, TeamLimits, Tuning};
 pub use host::{FencingState, HeartbeatSource, Host, HostInput};
 pub use partition::{AdmissionDecision, Partition};
--- a/crates/jasperhill-scheduler/src/partition/mod.rs
+++ b/crates/jasperhill-scheduler/src/partition/mod.rs
@@ -90,6 +90,8 @@
     /// Shares of jobs begun by class and team, and the jobs that go first because a share is too
     /// small.
     pub starvation: StarvationGuard,
+    /// Time since which each job has lacked hosts; see [`Partition::capacity_claims`].
+    pub(crate) missing_since: BTreeMap<JobId, Micros>,
     /// Time windows in which a team's limit is reserved for gangs, by team.
     pub(crate) reservation_windows: BTreeMap<Name, ReservationWindow>,
 }
@@ -121,6 +123,7 @@
             overrun_watch: OverrunWatch::default(),
             move_budget: MoveBudget::default(),
             starvation: StarvationGuard::default(),
+            missing_since: BTreeMap::new(),
             reservation_windows: BTreeMap::new(),
         }
     }
--- a/crates/jasperhill-scheduler/tests/machines/main.rs
+++ b/crates/jasperhill-scheduler/tests/machines/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the host and partition state machines with scripted and generated events.
 
 mod admission;
+mod capacity;
 mod failures;
 mod host_commands;
 mod placement;
--- a/crates/jasperhill-testkit/src/invariants.rs
+++ b/crates/jasperhill-testkit/src/invariants.rs
@@ -46,6 +46,8 @@
     pub started: usize,
     /// Time of the first start of a task of each job.
     pub first_start: BTreeMap<String, Instant>,
+    /// Time of the first start of each task.
+    first_task_start: BTreeMap<TaskId, Instant>,
     /// Time of the last start of a task of each job.
     pub last_start: BTreeMap<String, Instant>,
     /// Jobs whose users were told that they are cancelled, by id.
@@ -181,6 +183,16 @@
         let (phase, at) = self.final_phases.get(id)?;
         Some((phase.as_str(), *at))
     }
+    /// Returns the time at which the last task of a job started for the first time; `None` if some
+    /// task has not started.
+    pub(crate) fn all_started(&self, job: &JobRequest) -> Option<Instant> {
+        let starts = (0..job.tasks).map(|i| self.first_task_start.get(&TaskId::new(&job.id, i)));
+        starts
+            .collect::<Option<Vec<_>>>()?
+            .into_iter()
+            .max()
+            .copied()
+    }
     /// Returns the jobs whose last task has completed since the last call.
     pub(crate) fn take_completed_jobs(
         &mut self,
@@ -434,6 +446,9 @@
         self.tasks_restarted_after_result += usize::from(self.completed_tasks.contains(task));
         let first = self.first_start.entry(task.job.to_string());
         first.or_insert_with(Instant::now);
+        self.first_task_start
+            .entry(task.clone())
+            .or_insert_with(Instant::now);
         self.last_start.insert(task.job.to_string(), Instant::now());
         self.new_starts
             .push((worker.id.clone(), task.clone(), attempt));
--- a/crates/jasperhill-testkit/src/outcome.rs
+++ b/crates/jasperhill-testkit/src/outcome.rs
@@ -92,6 +92,8 @@
 pub struct JobTimes {
     /// Time of the acceptance.
     pub accepted: f64,
+    /// Time at which the last of its tasks had started; `None` if some have not.
+    pub all_started: Option<f64>,
     /// Last start of one of its tasks; `None` if none has started.
     pub last_start: Option<f64>,
     /// Final phase that its user was told first, and when; `None` if there was none.
--- a/crates/jasperhill-testkit/src/runner.rs
+++ b/crates/jasperhill-testkit/src/runner.rs
@@ -334,6 +334,7 @@
     let times = |(id, accepted): (&String, &Instant)| {
         let times = JobTimes {
             accepted: seconds(*accepted),
+            all_started: rules.all_started(&inner.jobs[id]).map(seconds),
             last_start: rules.last_start.get(id).map(|at| seconds(*at)),
             ended: rules
                 .final_phase_and_time(id)
--- a/crates/jasperhill-testkit/tests/left_waiting.rs
+++ b/crates/jasperhill-testkit/tests/left_waiting.rs
@@ -7,6 +7,10 @@
 
 /// Longest time in seconds for which a job may be left waiting once the troubles are over.
 const WAIT_LIMIT_S: f64 = 90.0;
+/// Time from the loss of a machine until its worker's lease has certainly expired, in seconds.
+const LEASE_S: f64 = 17.0;
+/// Time at which a machine is lost, in seconds from the start.
+const LOSS_S: u64 = 110;
 /// Length of the runs, in seconds.
 const RUN_S: u64 = 260;
 
@@ -54,6 +58,13 @@
     );
 }
 
+/// Asserts that all tasks of the job have started before this time.
+fn assert_started_before(outcome: &Outcome, job: &str, limit_s: f64) {
+    let times = &outcome.job_times[job];
+    let is_in_time = times.all_started.is_some_and(|at| at < limit_s);
+    assert!(is_in_time, "{job}: {times:?}");
+}
+
 /// Guards against a completed gang that is never called done. One machine of the gang reports the
 /// result; the other one cannot report for longer than its lease and forgets its task, so that the
 /// last task ends without a report.
@@ -80,3 +91,69 @@
         }
     }
 }
+
+/// Returns services of team `team-1` that keep this number of machines of zone `a` in use, with
+/// room for one more small task on each.
+fn services_in_zone_a(machines: usize) -> impl Iterator<Item = (u64, Value)> {
+    (0..machines).map(|n| {
+        let service = json!({
+            "shape": "daemon", "urgency": "prod", "hall": "a", "vcpus": 10.0, "expected_s": 0.0,
+        });
+        let id = format!("job-0001{n:02}");
+        (30, with(job(&id, "team-1", 0.0), service))
+    })
+}
+
+/// Returns a request for as many machines as it has tasks, each in its own.
+fn one_task_a_machine(id: &str, shape: &str, tasks: u32) -> Value {
+    let fields = json!({"shape": shape, "shards": tasks, "vcpus": 10.0, "urgency": "urgent"});
+    with(job(id, "team-0", 20.0), fields)
+}
+
+/// Guards against a zone-bound job that waits for ever after its machine failed: its partition was
+/// given a machine in the other zone instead, and counted as having enough.
+#[test]
+fn zone_bound_job_starts_again_after_its_machine_failed() {
+    for seed in 1..=3 {
+        for spot in [false, true] {
+            let bound = json!({"hall": "a", "reclaimable": spot, "accelerators": 0.0});
+            let bound = with(job("job-000001", "team-0", 150.0), bound);
+            let submissions = services_in_zone_a(4).chain([(60, bound)]).collect();
+            let loss = Fault::LossOfMachineOf("job-000001".to_owned());
+            let outcome = run_quiet(seed, submissions, vec![(LOSS_S, loss)]);
+            let times = &outcome.job_times["job-000001"];
+            let lost_at = LOSS_S as f64;
+            let is_restarted = times
+                .last_start
+                .is_some_and(|at| at > lost_at && at < lost_at + LEASE_S + WAIT_LIMIT_S);
+            assert!(is_restarted, "seed {seed}, spot {spot}: {times:?}");
+        }
+    }
+}
+
+/// Guards against a gang in one zone that never begins in a quiet deployment: its partition rented
+/// as many machines as the gang has tasks, but in two zones.
+#[test]
+fn gang_in_one_zone_starts_in_a_quiet_deployment() {
+    for seed in 1..=3 {
+        for zone in [Value::Null, json!("a"), json!("b")] {
+            let one_zone = json!({"together": true, "hall": zone});
+            let gang = with(one_task_a_machine("job-000001", "ensemble", 4), one_zone);
+            let outcome = run_quiet(seed, vec![(60, gang)], Vec::new());
+            assert_started_before(&outcome, "job-000001", 60.0 + WAIT_LIMIT_S);
+        }
+    }
+}
+
+/// Guards against a spread service whose replicas wait for ever: the machines that were rented for
+/// them were all in the zone that has its share of the replicas already.
+#[test]
+fn all_replicas_of_a_spread_service_start_in_a_quiet_deployment() {
+    for seed in 1..=3 {
+        let service = json!({"apart": true, "urgency": "prod", "expected_s": 0.0});
+        let service = with(one_task_a_machine("job-000001", "daemon", 4), service);
+        let submissions = services_in_zone_a(5).chain([(60, service)]).collect();
+        let outcome = run_quiet(seed, submissions, Vec::new());
+        assert_started_before(&outcome, "job-000001", 60.0 + WAIT_LIMIT_S);
+    }
+}
--- a/crates/jasperhill-wire/src/mesh.rs
+++ b/crates/jasperhill-wire/src/mesh.rs
@@ -9,6 +9,8 @@
 
 /// Version of the protocol between controllers.
 pub const PROTOCOL_VERSION: u16 = 2;
+/// Largest number of entries of missing hosts in a message.
+pub const MISSING_HOSTS_MAX: usize = 32;
 /// Longest message between controllers, in bytes.
 pub const MESSAGE_BYTES_MAX: usize = 64 * 1024;
 
@@ -48,13 +50,17 @@
         #[serde(rename = "ready")]
         boot_time: Micros,
     },
-    /// Sent by the owner of a partition: how many hosts its rejected jobs would need.
+    /// Sent by the owner of a partition: the capacity that its rejected and waiting jobs lack.
     #[serde(rename = "Unmet")]
     UnmetDemand {
         /// The partition that the sender owns.
         partition: u32,
-        /// Number of hosts needed, in thousandths of a host.
+        /// Number of hosts that its rejected jobs would need, in thousandths of a host.
         thousandths: u32,
+        /// Hosts that its waiting jobs lack, at most [`MISSING_HOSTS_MAX`] entries. Earlier versions
+        /// neither send nor read it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        missing: Vec<MissingHosts>,
     },
     /// Reports the state of the sender's links. Sent only to members at feature level
     /// [`crate::record::REACHABILITY`].
@@ -76,6 +82,38 @@
     },
 }
 
+/// Hosts that a waiting job may use and that its partition lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MissingHosts {
+    /// Machine types that will do, cheapest first.
+    pub machine_types: Vec<Name>,
+    /// Whether spot machines will do as well as on-demand machines.
+    pub spot: bool,
+    /// Zones that will do, the preferred one first. The hosts of one of them are enough.
+    pub zones: Vec<MissingInZone>,
+    /// Time for which the job has lacked hosts, in microseconds.
+    pub missing_for: Micros,
+}
+
+impl MissingHosts {
+    /// Returns whether a host of this machine type and zone will do; `spot` says whether it is a
+    /// spot machine.
+    pub fn allows_host(&self, machine_type: &Name, zone: &Name, spot: bool) -> bool {
+        self.machine_types.contains(machine_type)
+            && (self.spot || !spot)
+            && self.zones.iter().any(|in_zone| &in_zone.zone == zone)
+    }
+}
+
+/// Number of hosts that a job lacks if it gets all of them in one zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MissingInZone {
+    /// The zone.
+    pub zone: Name,
+    /// Number of hosts; at least 1.
+    pub hosts: u32,
+}
+
 /// State of a link, as judged by whether requests sent over the link succeed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LinkState {
--- a/crates/jasperhill-wire/tests/earlier.rs
+++ b/crates/jasperhill-wire/tests/earlier.rs
@@ -7,8 +7,8 @@
     FencingToken, HostId, JobId, Member, Micros, Name, Resources, Revision,
     cloud::{MachineType, MachineTypes},
     mesh::{
-        LinkState, MeshRequest, MeshResponse, PROTOCOL_VERSION, ReachabilityReport, ZoneLinks,
-        decode, encode,
+        LinkState, MeshRequest, MeshResponse, MissingHosts, MissingInZone, PROTOCOL_VERSION,
+        ReachabilityReport, ZoneLinks, decode, encode,
     },
     record::{
         DelegationGrantRecord, DelegationRequestRecord, HostAssignment, HostBlock, JobRecord, Key,
@@ -20,6 +20,19 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, from_value, json, to_value};
 
+/// Returns hosts that a waiting job lacks, which earlier versions do not know.
+fn missing_hosts() -> MissingHosts {
+    MissingHosts {
+        machine_types: vec!["g8".into()],
+        spot: false,
+        zones: vec![MissingInZone {
+            zone: "a".into(),
+            hosts: 1,
+        }],
+        missing_for: Micros(1),
+    }
+}
+
 /// Returns the JSON of a job request, as commit 42517fd wrote it.
 fn earlier_job_request() -> Value {
     json!({"u":"job-000412","c":"train","t":"vision","k":"ensemble","p":"urgent","n":16,
@@ -261,6 +274,12 @@
         MeshRequest::UnmetDemand {
             partition: 1,
             thousandths: 500,
+            missing: Vec::new(),
+        },
+        MeshRequest::UnmetDemand {
+            partition: 1,
+            thousandths: 500,
+            missing: vec![missing_hosts()],
         },
     ];
     for request in requests {
@@ -278,6 +297,15 @@
                 assert!(received.dependencies.is_empty());
                 assert_eq!((&received.id, received.deadline), (&sent.id, sent.deadline));
             }
+            // The previous version drops the missing hosts, which it does not know.
+            (
+                MeshRequest::UnmetDemand { missing: sent, .. },
+                MeshRequest::UnmetDemand {
+                    thousandths,
+                    missing,
+                    ..
+                },
+            ) if !sent.is_empty() => assert_eq!((thousandths, missing), (500, Vec::new())),
             (sent, received) => assert_eq!(sent, received),
         }
     }
--- a/crates/jasperhill-wire/tests/samples.rs
+++ b/crates/jasperhill-wire/tests/samples.rs
@@ -6,8 +6,8 @@
     Attempt, FencingToken, HostId, JobId, Member, Micros, Name, Resources, Revision, TaskId,
     cloud::{HostNames, MachineType, MachineTypes, RentRequest},
     mesh::{
-        LinkState, MeshRequest, MeshResponse, ReachabilityReport, TaskCounts, ZoneLinks, decode,
-        encode,
+        LinkState, MeshRequest, MeshResponse, MissingHosts, MissingInZone, ReachabilityReport,
+        TaskCounts, ZoneLinks, decode, encode,
     },
     record::{
         DelegationGrantRecord, DelegationRequestRecord, FeatureLevelRecord, HostAssignment,
@@ -305,6 +305,23 @@
         MeshRequest::UnmetDemand {
             partition: 1,
             thousandths: 1_500,
+            missing: Vec::new(),
+        },
+    );
+    assert_cbor_round_trip(
+        "mesh-unmet-missing",
+        MeshRequest::UnmetDemand {
+            partition: 1,
+            thousandths: 0,
+            missing: vec![MissingHosts {
+                machine_types: vec!["g8".into()],
+                spot: true,
+                zones: vec![MissingInZone {
+                    zone: "a".into(),
+                    hosts: 2,
+                }],
+                missing_for: Micros::from_secs(3),
+            }],
         },
     );
     assert_cbor_round_trip(
