Back-off: a job that waits to be retried claims the hosts of one retry

Cause: a job with failed attempts was left out of the demand altogether. All idle machines of its partition were returned between two retries, and none was rented.

Change: a job that backs off takes part in the claims of waiting jobs, with one task or, a gang, with all of them. All jobs of a partition that back off share what they claim: those with the same constraints hold and rent at most what the largest retry among them needs. Until a job has failed on four hosts it claims, and is retried on, another host than those. The longest waiting job of every kind of constraints is looked at, so that jobs which the cloud has nothing for hide no others.

--- a/crates/jasperhill-controller/src/provisioner/inventory.rs
+++ b/crates/jasperhill-controller/src/provisioner/inventory.rs
@@ -195,8 +195,8 @@
         state
             .cache
             .active_jobs()
-            // Jobs with failed attempts don't count: no machine is rented for a job that fails on
-            // every host.
+            // Jobs with failed attempts don't count, so that no fleet is rented for a job that fails
+            // on every host. Their owner reports the hosts that one retry lacks.
             .filter(|job| job.failed_attempts == 0)
             .filter(|job| self.is_ready_within(state, job, boot_time, now))
             .filter_map(|job| {
--- a/crates/jasperhill-scheduler/src/cycle/capacity_claims.rs
+++ b/crates/jasperhill-scheduler/src/cycle/capacity_claims.rs
@@ -6,6 +6,10 @@
 //! of them. [`Partition::capacity_claims`] therefore looks at every waiting job with the constraints
 //! of placement: zone, gangs in one zone, spreading, machine type, spot, and the state of each host.
 //! A job that no host can serve by the time at which a new machine would be up lacks hosts.
+//!
+//! A job that backs off claims capacity for one retry: for one task, or for all tasks of a gang. All
+//! jobs of a partition that back off share what they claim, so that those with the same constraints
+//! together hold and rent no more than the largest retry among them needs.
 
 use crate::{
     config::MachineSpec,
@@ -21,30 +25,49 @@
     user::Shape,
 };
 use std::{
-    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
 };
 
-/// Maximum number of jobs whose claims are computed at a time, longest waiting first.
-const CLAIMING_JOBS_MAX: usize = 64;
+/// Maximum numbers of jobs whose claims are computed at a time.
+const CLAIMANTS_MAX: ClaimantsMax = ClaimantsMax {
+    of_a_kind: 16,
+    total: 64,
+};
+/// Maximum numbers of jobs that back off whose claims are computed at a time.
+const RETRIED_MAX: ClaimantsMax = ClaimantsMax {
+    of_a_kind: 4,
+    total: 32,
+};
 /// Maximum number of hosts that one job may lack.
 const MISSING_PER_JOB_MAX: u64 = 50;
 
+/// Maximum numbers of jobs whose claims are computed at a time. The longest waiting job of every kind
+/// comes first, so that jobs which no machine can be rented for do not hide jobs of other kinds.
+struct ClaimantsMax {
+    of_a_kind: usize,
+    total: usize,
+}
+
+/// The constraints of a job that decide which hosts it may use: machine types, zone, one zone,
+/// spreading, spot, and whether all tasks start together.
+type ConstraintKind<'a> = (&'a Option<Vec<Name>>, &'a Option<Name>, [bool; 4]);
+
 /// The claims of the waiting jobs of a partition.
 #[derive(Clone, Debug, Default)]
 pub struct CapacityClaims {
     /// Empty hosts that waiting jobs are to use. They must not be given up.
     pub kept: BTreeSet<HostId>,
-    /// Hosts that waiting jobs lack, for the longest waiting job first; at most
+    /// Hosts that waiting jobs lack, for the longest waiting job of every kind first; at most
     /// [`MISSING_HOSTS_MAX`] entries.
     pub missing: Vec<MissingHosts>,
 }
 
 /// Capacity that waiting jobs can claim: that of a host, or of a machine to be rented.
-struct Supply {
+#[derive(Clone)]
+struct Supply<'a> {
     /// The host; `None` for a machine to be rented.
-    host: Option<HostId>,
+    host: Option<&'a Host>,
     /// Whether the host is empty, so that it could be given up.
     is_empty: bool,
     spec: Rc<MachineSpec>,
@@ -64,7 +87,7 @@
     Soon,
 }
 
-impl Supply {
+impl Supply<'_> {
     /// Returns how many tasks of this size fit.
     fn places(&self, each: &Resources, availability: Availability) -> u64 {
         let soon = each.count_in(&self.free_soon);
@@ -74,6 +97,14 @@
         }
     }
 
+    /// Returns a machine to be rented as it is before any job has claimed a part of it.
+    fn without_claims(self) -> Self {
+        Self {
+            free_soon: self.spec.capacity,
+            ..self
+        }
+    }
+
     /// Claims the resources of `tasks` tasks.
     fn claim(&mut self, each: &Resources, tasks: u64) {
         self.free_now -= each.times(tasks);
@@ -115,60 +146,83 @@
         let cycle = self.begin_cycle(now);
         let mut claims = CapacityClaims::default();
         let mut lacking = BTreeMap::new();
-        let claimants = self.claimants(&cycle);
-        if !claimants.is_empty() {
+        let claimants = self.claimants(&cycle, &CLAIMANTS_MAX, false);
+        let retried = self.claimants(&cycle, &RETRIED_MAX, true);
+        if !claimants.is_empty() || !retried.is_empty() {
             let mut supply = self.supply(now);
-            for claimant in &claimants {
+            let mut claim = |claimant: &Claimant<'_>, supply: &mut Vec<Supply<'_>>| {
                 let missing_since = self.missing_since.get(&claimant.job.request.id);
                 let missing_since = missing_since.copied().unwrap_or(now);
-                let missing_for = now - missing_since;
                 let entries_before = claims.missing.len();
-                claimant.claim(&mut supply, &mut claims, missing_for);
+                claimant.claim(supply, &mut claims, now - missing_since);
                 if claims.missing.len() > entries_before {
                     lacking.insert(claimant.job.request.id.clone(), missing_since);
                 }
+            };
+            for claimant in &claimants {
+                claim(claimant, &mut supply);
+            }
+            for claimant in &retried {
+                let mut shared = supply.clone();
+                claim(claimant, &mut shared);
+                let rented = shared.drain(supply.len()..);
+                supply.extend(rented.map(Supply::without_claims));
             }
         }
-        claims
-            .missing
-            .sort_by_key(|missing| Reverse(missing.missing_for));
         claims.missing.truncate(MISSING_HOSTS_MAX);
         self.missing_since = lacking;
         claims
     }
 
-    /// Returns the jobs that wait for capacity alone, longest waiting first.
-    fn claimants(&self, cycle: &Cycle) -> Vec<Claimant<'_>> {
+    /// Returns the jobs that wait for capacity alone, the longest waiting one of every kind first:
+    /// those that back off after failures, or the others.
+    fn claimants(
+        &self,
+        cycle: &Cycle,
+        most: &ClaimantsMax,
+        is_backing_off: bool,
+    ) -> Vec<Claimant<'_>> {
         let is_waiting_for_capacity = |job: &&Job| {
             job.termination.is_none()
                 && job.readiness == Readiness::Open
                 && job.awaited_capacity.is_empty()
-                && !job.failures.is_backing_off()
+                && job.failures.is_backing_off() == is_backing_off
                 && tasks_to_claim(job) > 0
                 && !self.may_run_unconfirmed(job, &cycle.unconfirmed)
         };
         let mut jobs: Vec<&Job> = self.jobs.values().filter(is_waiting_for_capacity).collect();
         jobs.sort_by_key(|job| (job.waiting_since(), &job.request.id));
         let mut claimed_by_team: BTreeMap<&Name, Resources> = BTreeMap::new();
-        let mut claimants = Vec::new();
+        let mut jobs_of_kind: BTreeMap<ConstraintKind<'_>, usize> = BTreeMap::new();
+        let mut claimants: Vec<(usize, Claimant<'_>)> = Vec::new();
         for job in jobs {
-            if claimants.len() == CLAIMING_JOBS_MAX {
-                break;
-            }
-            let request = &job.request;
-            let claimed = claimed_by_team.entry(&request.team).or_default();
-            let needed = *claimed + request.each.times(tasks_to_claim(job));
-            let is_within_limit = self.may_start(cycle, request, job.tasks_to_begin())
-                && self.config.team(&request.team).is_some_and(|team| {
-                    let used = self.used_by_team.get(&request.team).copied();
-                    team.allows(&(used.unwrap_or_default() + needed))
-                });
-            if is_within_limit {
+            let older_jobs = jobs_of_kind.entry(constraint_kind(job)).or_default();
+            let claimed = claimed_by_team.entry(&job.request.team).or_default();
+            let needed = *claimed + job.request.each.times(tasks_to_claim(job));
+            if *older_jobs < most.of_a_kind && self.is_within_limit(cycle, job, needed) {
                 *claimed = needed;
-                claimants.push(self.claimant(job));
+                claimants.push((*older_jobs, self.claimant(job)));
+                *older_jobs += 1;
             }
         }
+        claimants.sort_by_key(|(older_jobs, _)| *older_jobs);
+        claimants.truncate(most.total);
         claimants
+            .into_iter()
+            .map(|(_, claimant)| claimant)
+            .collect()
+    }
+
+    /// Returns whether the job may start, and its team stays within its limit if `claimed` is used as
+    /// well.
+    fn is_within_limit(&self, cycle: &Cycle, job: &Job, claimed: Resources) -> bool {
+        let request = &job.request;
+        let used = self.used_by_team.get(&request.team).copied();
+        self.may_start(cycle, request, job.tasks_to_begin())
+            && self
+                .config
+                .team(&request.team)
+                .is_some_and(|team| team.allows(&(used.unwrap_or_default() + claimed)))
     }
 
     /// Returns a waiting job with the machine types and zones that it may use.
@@ -198,46 +252,50 @@
 
     /// Returns the capacity of the hosts, now and by the time at which a machine rented now would be
     /// up.
-    fn supply(&self, now: Micros) -> Vec<Supply> {
+    fn supply(&self, now: Micros) -> Vec<Supply<'_>> {
         let boot_times = self.specs.values().map(|spec| spec.nominal_boot_time);
         let horizon = now + boot_times.max().unwrap_or_default();
         let claimable = self.hosts.values().filter(|host| is_claimable(host, now));
-        let host_supply = |host: &Host| {
-            let mut free_soon = host.free_resources();
-            let tasks = self.occupied(host, now).into_iter();
-            for task in tasks.filter(|task| task.until <= horizon) {
-                free_soon += task.resources;
-            }
-            for reservation in &host.queue {
-                free_soon -= reservation.resources;
-            }
-            Supply {
-                host: Some(host.id.clone()),
-                is_empty: host.task_count() == 0 && host.queue.is_empty(),
-                spec: host.spec.clone(),
-                zone: host.zone.clone(),
-                spot: host.spot,
-                free_now: host.free_resources(),
-                free_soon,
-            }
-        };
-        claimable.map(host_supply).collect()
+        claimable
+            .map(|host| self.supply_of(host, now, horizon))
+            .collect()
+    }
+
+    /// Returns the capacity of a host, now and at `horizon`.
+    fn supply_of<'a>(&self, host: &'a Host, now: Micros, horizon: Micros) -> Supply<'a> {
+        let mut free_soon = host.free_resources();
+        let tasks = self.occupied(host, now).into_iter();
+        for task in tasks.filter(|task| task.until <= horizon) {
+            free_soon += task.resources;
+        }
+        for reservation in &host.queue {
+            free_soon -= reservation.resources;
+        }
+        Supply {
+            host: Some(host),
+            is_empty: host.task_count() == 0 && host.queue.is_empty(),
+            spec: host.spec.clone(),
+            zone: host.zone.clone(),
+            spot: host.spot,
+            free_now: host.free_resources(),
+            free_soon,
+        }
     }
 }
 
 impl Claimant<'_> {
-    /// Returns whether the job may use this capacity, apart from its zone.
-    fn may_use(&self, supply: &Supply) -> bool {
-        let request = &self.job.request;
-        let is_avoided = supply
-            .host
-            .as_ref()
-            .is_some_and(|host| self.job.failures.avoids(host));
-        request.allows_host(&supply.spec.machine_type, &supply.zone, supply.spot) && !is_avoided
+    /// Returns whether the job may use this capacity, and has not failed there for a reason that may
+    /// be the host's.
+    fn may_use(&self, supply: &Supply<'_>) -> bool {
+        let (request, failures) = (&self.job.request, &self.job.failures);
+        let is_suspect = supply.host.is_some_and(|host| {
+            failures.avoids(&host.id) || failures.needs_other_host_than(&host.id)
+        });
+        request.allows_host(&supply.spec.machine_type, &supply.zone, supply.spot) && !is_suspect
     }
 
     /// Returns how many tasks the capacity of each zone can take.
-    fn places_by_zone(&self, supply: &[Supply]) -> BTreeMap<Name, u64> {
+    fn places_by_zone(&self, supply: &[Supply<'_>]) -> BTreeMap<Name, u64> {
         let mut places = BTreeMap::new();
         for entry in supply.iter().filter(|entry| self.may_use(entry)) {
             let fitting = entry.places(&self.job.request.each, Availability::Soon);
@@ -248,7 +306,12 @@
     }
 
     /// Claims capacity for the tasks of the job, and records the hosts that it lacks.
-    fn claim(&self, supply: &mut Vec<Supply>, claims: &mut CapacityClaims, missing_for: Micros) {
+    fn claim(
+        &self,
+        supply: &mut Vec<Supply<'_>>,
+        claims: &mut CapacityClaims,
+        missing_for: Micros,
+    ) {
         let missing = if self.job.request.one_zone {
             self.claim_in_one_zone(supply, claims)
         } else {
@@ -268,7 +331,7 @@
     /// each zone, fewest first, or nothing if none are.
     fn claim_in_one_zone(
         &self,
-        supply: &mut Vec<Supply>,
+        supply: &mut Vec<Supply<'_>>,
         claims: &mut CapacityClaims,
     ) -> Vec<Vec<MissingInZone>> {
         let places_by_zone = self.places_by_zone(supply);
@@ -306,7 +369,7 @@
     /// hosts that are missing, with the zones that will do: those with few hosts first.
     fn claim_in_all_zones(
         &self,
-        supply: &mut Vec<Supply>,
+        supply: &mut Vec<Supply<'_>>,
         claims: &mut CapacityClaims,
     ) -> Vec<Vec<MissingInZone>> {
         let mut places_left = self.places_in_zone.clone();
@@ -346,7 +409,7 @@
     /// free now, then what will be. Returns the number of tasks that are left.
     fn take(
         &self,
-        supply: &mut [Supply],
+        supply: &mut [Supply<'_>],
         claims: &mut CapacityClaims,
         places_left: &mut BTreeMap<Name, u64>,
         tasks: u64,
@@ -366,8 +429,8 @@
                 entry.claim(each, taken);
                 *in_zone -= taken;
                 tasks_left -= taken;
-                if let Some(host) = entry.host.as_ref().filter(|_| entry.is_empty) {
-                    claims.kept.insert(host.clone());
+                if let Some(host) = entry.host.filter(|_| entry.is_empty) {
+                    claims.kept.insert(host.id.clone());
                 }
             }
         }
@@ -377,7 +440,7 @@
     /// Keeps the empty hosts in a zone that up to `tasks` tasks could use, without a claim on them.
     fn keep_hosts_in(
         &self,
-        supply: &[Supply],
+        supply: &[Supply<'_>],
         claims: &mut CapacityClaims,
         zone: &Name,
         tasks: u64,
@@ -386,8 +449,8 @@
         let in_zone = supply.iter().filter(|entry| &entry.zone == zone);
         for entry in in_zone.filter(|entry| entry.is_empty && self.may_use(entry)) {
             let places = entry.places(&self.job.request.each, Availability::Soon);
-            if let Some(host) = entry.host.as_ref().filter(|_| places.min(tasks_left) > 0) {
-                claims.kept.insert(host.clone());
+            if let Some(host) = entry.host.filter(|_| places.min(tasks_left) > 0) {
+                claims.kept.insert(host.id.clone());
                 tasks_left -= places.min(tasks_left);
             }
         }
@@ -395,7 +458,7 @@
 
     /// Adds the machines to be rented for `tasks` tasks in a zone, so that other jobs can claim what
     /// is left of them.
-    fn add_rented(&self, supply: &mut Vec<Supply>, zone: &Name, tasks: u64) {
+    fn add_rented(&self, supply: &mut Vec<Supply<'_>>, zone: &Name, tasks: u64) {
         let Some(spec) = self.specs.first() else {
             return;
         };
@@ -418,6 +481,18 @@
     }
 }
 
+/// Returns the constraints of a job.
+fn constraint_kind(job: &Job) -> ConstraintKind<'_> {
+    let request = &job.request;
+    let flags = [
+        request.one_zone,
+        request.spread,
+        request.spot,
+        job.is_gang(),
+    ];
+    (&request.types, &request.zone, flags)
+}
+
 /// Returns the number of tasks for which a job claims capacity now. An array can make progress with
 /// one task at a time; the counts of hosts cover the others.
 fn tasks_to_claim(job: &Job) -> u64 {
--- a/crates/jasperhill-scheduler/src/cycle/placement.rs
+++ b/crates/jasperhill-scheduler/src/cycle/placement.rs
@@ -67,14 +67,23 @@
         + (stranded_ms + packing_ms) as u64
 }
 
+/// Penalty, in milliseconds of start delay, for retrying a job on a host that is not proven.
+const UNPROVEN_HOST_PENALTY_MS: u64 = 60_000;
+
 /// Returns the penalty, in milliseconds, for placing a job that is backing off after failures on a
 /// host that has not recently run tasks of other jobs successfully, or on which other jobs have
-/// failed. On a proven host, another failure shows that the job is at fault and not the host.
+/// failed. On a proven host, another failure shows that the job is at fault and not the host. The
+/// penalty is highest for a host on which the job itself has failed, as long as the host may be at
+/// fault.
 pub(crate) fn unproven_host_penalty_ms(job: &Job, host: &Host, now: Micros) -> u64 {
-    if job.failures.is_backing_off() && !host.has_recent_success_besides(&job.request.id, now) {
-        60_000
-    } else {
+    if !job.failures.is_backing_off() {
         0
+    } else if job.failures.needs_other_host_than(&host.id) {
+        2 * UNPROVEN_HOST_PENALTY_MS
+    } else if host.has_recent_success_besides(&job.request.id, now) {
+        0
+    } else {
+        UNPROVEN_HOST_PENALTY_MS
     }
 }
 
--- a/crates/jasperhill-scheduler/src/failures.rs
+++ b/crates/jasperhill-scheduler/src/failures.rs
@@ -21,6 +21,9 @@
 const OUTLIVED_FACTOR: u64 = 3;
 /// Time added to the multiple of the longest failed run; see [`OUTLIVED_FACTOR`].
 const OUTLIVED_MARGIN: Micros = Micros::from_secs(10);
+/// Number of hosts on which a job that backs off must have failed until it is retried on the same
+/// hosts again. Until then the hosts may be at fault, so that the job needs another one.
+const HOSTS_TO_TRY: usize = 4;
 /// Maximum number of hosts remembered for a job that backs off.
 const MAX_HOSTS: usize = 256;
 
@@ -99,6 +102,13 @@
         matches!(self, Self::Failing(hosts) if hosts.contains_key(host))
     }
 
+    /// Returns whether the job backs off, has failed on this host and has not been tried on enough
+    /// others.
+    pub fn needs_other_host_than(&self, host: &HostId) -> bool {
+        matches!(self, Self::BackingOff { hosts, .. }
+            if hosts.len() < HOSTS_TO_TRY && hosts.contains(host))
+    }
+
     /// Returns whether there are hosts on which the job should not run again.
     pub fn avoids_any(&self) -> bool {
         matches!(self, Self::Failing(_))
--- a/crates/jasperhill-testkit/tests/left_waiting.rs
+++ b/crates/jasperhill-testkit/tests/left_waiting.rs
@@ -157,3 +157,31 @@
         assert_started_before(&outcome, "job-000001", 60.0 + WAIT_LIMIT_S);
     }
 }
+
+/// Guards against a job that gets no machine any more after it failed on two sick machines: while it
+/// backed off it asked for none, so that all idle machines were returned.
+#[test]
+fn job_is_done_after_it_failed_on_sick_machines() {
+    // More than the job meets: it fails wherever it is tried until the trouble ends.
+    const SICK_MACHINES: usize = 12;
+    const SICK_FROM_S: u64 = 10;
+    const SICK_FOR_S: u64 = 50;
+    for seed in 1..=4 {
+        // Short jobs that fill machines, which shows that these machines work.
+        let fills_machine = json!({"accelerators": 2.0, "reclaimable": true, "urgency": "urgent"});
+        let earlier = (0..3).map(|n| {
+            let short = job(&format!("job-00020{n}"), "team-0", 1.0);
+            (2, with(short, fills_machine.clone()))
+        });
+        let service = json!({"shape": "daemon", "urgency": "prod", "expected_s": 0.0});
+        let service = with(job("job-000300", "team-1", 0.0), service);
+        let failing = with(job("job-000001", "team-0", 5.0), fills_machine.clone());
+        let submissions = earlier.chain([(2, service), (12, failing)]);
+        let time = Duration::from_secs(SICK_FOR_S);
+        let sick = Fault::SickMachines("job-000001".to_owned(), SICK_MACHINES, time);
+        let outcome = run_quiet(seed, submissions.collect(), vec![(SICK_FROM_S, sick)]);
+        assert!(outcome.fault_counts.sick_machines >= 2, "seed {seed}");
+        let calm_s = (SICK_FROM_S + SICK_FOR_S) as f64;
+        assert_done_before(&outcome, "job-000001", calm_s + WAIT_LIMIT_S);
+    }
+}
