Report missing hosts after three seconds

A job that lacked hosts for a moment, as when hosts are about to be registered at the start or when the demand has just rented machines, made the leader rent one more machine. The tests of left_waiting pass unchanged.

--- a/crates/jasperhill-controller/src/provisioner/capacity_broadcast.rs
+++ b/crates/jasperhill-controller/src/provisioner/capacity_broadcast.rs
@@ -4,7 +4,10 @@
 use super::state::{LeaderState, SpareCapacity, UnmetDemand};
 use crate::{shared::Shared, state::State};
 use jasperhill_scheduler::{config::Specs, rental_plan::MachineOffer};
-use jasperhill_wire::{Micros, mesh::MeshRequest};
+use jasperhill_wire::{
+    Micros,
+    mesh::{MeshRequest, MissingHosts},
+};
 use std::rc::Rc;
 
 /// Timeout of a message to another controller.
@@ -12,6 +15,9 @@
 /// Time for which a rejected job counts as demand after its last submission. Limited because a
 /// client that has given up does not submit the job again.
 const REJECTED_JOB_RETENTION: Micros = Micros::from_secs(6);
+/// Time for which a job must have lacked hosts until that is reported. Shorter waits end by
+/// themselves, as when hosts are about to be registered or machines were rented for the demand.
+const MISSING_REPORT_DELAY: Micros = Micros::from_secs(3);
 /// Divisor of the demand of rejected jobs, because some of them fit without more machines.
 const REJECTED_DEMAND_DIVISOR: f64 = 1.5;
 /// Number of units of unmet demand per host in messages, which carry thousandths of a host.
@@ -55,20 +61,22 @@
                 .map(|job| job.needed_hosts / REJECTED_DEMAND_DIVISOR)
                 .sum();
             let claims = owned.capacity_claims(now);
+            let missing = claims.missing.iter();
+            let is_reported = |entry: &&MissingHosts| entry.missing_for >= MISSING_REPORT_DELAY;
             let demand = UnmetDemand {
                 hosts,
-                missing: claims.missing.clone(),
+                missing: missing.filter(is_reported).cloned().collect(),
                 received_at: now,
             };
             provisioning.claims.insert(*partition, claims);
-            let is_reported = !demand.is_empty();
+            let is_unmet = !demand.is_empty();
             let message = MeshRequest::UnmetDemand {
                 partition: *partition,
                 thousandths: (hosts * THOUSANDTHS_PER_HOST) as u32,
                 missing: demand.missing.clone(),
             };
             let previous = provisioning.unmet_demand.insert(*partition, demand);
-            if is_reported || previous.is_some_and(|demand| !demand.is_empty()) {
+            if is_unmet || previous.is_some_and(|demand| !demand.is_empty()) {
                 messages.push(message);
             }
         }
