Machine types: the leader stores them in its next round, not at its next fetch

What users saw: if the cloud's interface fails and all controllers end within the first two minutes, no controller is ready and no worker is answered until the cloud is back; all tasks are lost to their leases.

Cause: a controller fetches the types when it starts and becomes the leader later. Only a fetch as the leader wrote them to the store, and the next fetch comes after 120 s.

Change: the types are kept as fetched, and the leader writes them in each round until the store has them.

--- a/crates/jasperhill-controller/src/provisioner/mod.rs
+++ b/crates/jasperhill-controller/src/provisioner/mod.rs
@@ -67,6 +67,7 @@
         if self.is_inventory_due(now) {
             self.reconcile_inventory().await;
         }
+        self.store_machine_types().await;
         self.split_blocks();
         self.return_machines().await;
         self.assign_free_hosts();
--- a/crates/jasperhill-controller/src/provisioner/state.rs
+++ b/crates/jasperhill-controller/src/provisioner/state.rs
@@ -10,7 +10,11 @@
     config::Specs,
     rental_plan::{ExpectedMachine, MachineOffer, PartitionMissing},
 };
-use jasperhill_wire::{HostId, Micros, Revision, cloud::RentRequest, mesh::MissingHosts};
+use jasperhill_wire::{
+    HostId, Micros, Revision,
+    cloud::{MachineTypes, RentRequest},
+    mesh::MissingHosts,
+};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -30,6 +34,9 @@
 pub(crate) struct ProvisioningState {
     /// The leader's state; `None` while this controller is not the leader.
     pub leader: Option<LeaderState>,
+    /// Machine types as this controller last fetched them; `None` if it has not, or if they are too
+    /// long for the store.
+    pub fetched_types: Option<MachineTypes>,
     /// Rate limiter of requests to the cloud.
     pub request_limiter: TokenBucket,
     /// Machines that the leader is to return to the cloud.
@@ -79,6 +86,7 @@
         let rate = settings.cloud_rps;
         Self {
             leader: None,
+            fetched_types: None,
             request_limiter: TokenBucket::new(rate * CLOUD_RATE_SHARE, rate, now),
             machines_to_return: BTreeSet::new(),
             unmet_demand: BTreeMap::new(),
--- a/crates/jasperhill-testkit/tests/combined_faults/outages.rs
+++ b/crates/jasperhill-testkit/tests/combined_faults/outages.rs
@@ -107,3 +107,25 @@
     }
     assert!(runs_with_many_moves >= 3, "{runs_with_many_moves}");
 }
+
+/// Guards against workers that nobody answers because no controller knows the machine types: the
+/// cloud fails, all controllers end, and the types were in the memory of the leader only.
+#[test]
+fn workers_are_answered_after_all_controllers_restart_in_a_cloud_outage() {
+    let scenarios = (0..3).map(|n| {
+        let mut faults = vec![(20, Fault::CloudOutage(secs(60)))];
+        faults.extend((0..3).map(|node| (25, Fault::Crash(node, secs(2)))));
+        let scenario = Scenario {
+            // Tasks run on, and nobody cancels them before the outage is over.
+            long_tasks: Some((200, 240)),
+            uneven_arrays: 8,
+            ..Scenario::small(160 + n, 250, 60, faults)
+        };
+        (format!("scenario {n}"), scenario)
+    });
+    let runs = run_scenarios(scenarios.collect());
+    assert_invariants_hold(&runs);
+    for (name, outcome) in &runs {
+        assert_eq!(outcome.killed, 0, "{name}");
+    }
+}
