Watch cache: an ignored response does not count as a linearizable read

Cause (by reading; no run has shown it end to end): the cache ignores a watch response that begins after its own revision, as when a listing that began earlier is completed while a linearizable read is under way. Shared::watch still counted the response, for the read and for the age of the cache, so that the read could pass without its changes and an accepted job get 404.

Change: a response counts only if the cache contains its revision afterwards; otherwise the read is repeated.

Evidence: watch_cache::ignored_response_does_not_count_as_contained shows the order of events on the cache.

--- a/crates/jasperhill-controller/src/store/watch.rs
+++ b/crates/jasperhill-controller/src/store/watch.rs
@@ -215,9 +215,20 @@
                     revision: response.revision,
                     events: response.events,
                 });
+                self.observe_link(LinkId::Store, Observation::Success);
+                // The cache ignores a response that begins after its revision, as happens if a
+                // listing that began earlier was completed in the meantime. Such a response must not
+                // count as a linearizable read, or for the age of the cache.
+                if !self
+                    .state
+                    .borrow()
+                    .cache
+                    .contains_revision(response.revision)
+                {
+                    return false;
+                }
                 let fresh = authority::Input::CacheFresh { sent: sent_at };
                 self.state.borrow_mut().authority.apply(fresh);
-                self.observe_link(LinkId::Store, Observation::Success);
                 true
             }
             // A new listing avoids a watch that never catches up. It also bounds memory use,
--- a/crates/jasperhill-controller/src/watch_cache/mod.rs
+++ b/crates/jasperhill-controller/src/watch_cache/mod.rs
@@ -146,6 +146,11 @@
         };
     }
 
+    /// Returns whether the cache contains all changes up to this revision.
+    pub fn contains_revision(&self, revision: Revision) -> bool {
+        self.phase != Phase::NotListed && self.revision >= revision
+    }
+
     /// Applies watch events in the order of their revisions, each event at most once. Ignores a
     /// response that would leave a gap in the revisions or that is older than the cache.
     fn apply_events(
--- a/crates/jasperhill-controller/tests/watch_cache.rs
+++ b/crates/jasperhill-controller/tests/watch_cache.rs
@@ -323,3 +323,34 @@
     assert_eq!(apply(5, event), [cancelled; 3]);
     assert_eq!(cache.active_jobs().count(), 0);
 }
+
+/// Guards against a linearizable read that passes without its changes: a listing that began before
+/// them is completed while their response is under way, and the cache ignores the response.
+#[test]
+fn ignored_response_does_not_count_as_contained() {
+    let mut cache = WatchCache::default();
+    assert!(
+        !cache.contains_revision(Revision(0)),
+        "nothing is listed yet"
+    );
+    let listed = |revision| Input::Listed {
+        items: vec![],
+        first: Revision(revision),
+        last: Revision(revision),
+    };
+    let response = |after, revision| Input::WatchEvents {
+        after: Revision(after),
+        revision: Revision(revision),
+        events: vec![],
+    };
+    cache.apply(listed(10));
+    cache.apply(response(10, 12));
+    assert!(cache.contains_revision(Revision(12)));
+    // A read after revision 12 is under way when a listing of revision 11 is completed.
+    cache.apply(listed(11));
+    cache.apply(response(12, 14));
+    assert!(cache.is_synced());
+    assert!(!cache.contains_revision(Revision(14)));
+    cache.apply(response(11, 14));
+    assert!(cache.contains_revision(Revision(14)));
+}
