--- a/crates/jasperhill-controller/src/provisioner/scale_out.rs
+++ b/crates/jasperhill-controller/src/provisioner/scale_out.rs
@@ -193,7 +193,16 @@
             spec.is_some_and(|spec| spec.zones.contains(&offer.zone))
                 && !leader.exhausted_offers.contains_key(offer)
         };
-        if let Some(Rental { offer, count }) = next_rental(&missing, &expected, is_offered) {
+        if let Some(rental) = next_rental(&missing, &expected, is_offered) {
+            let Rental {
+                offer,
+                count,
+                partition,
+            } = rental;
+            tracing::info!(
+                partition, zone = %offer.zone, machine_type = %offer.machine_type,
+                spot = offer.spot, count, "machines rented for waiting jobs"
+            );
             return Some(leader.begin_rental(offer, count));
         }
         let booting = leader.booting_supply(&specs, hosts.len(), now);
--- a/crates/jasperhill-scheduler/src/rental_plan.rs
+++ b/crates/jasperhill-scheduler/src/rental_plan.rs
@@ -63,6 +63,8 @@
     pub offer: MachineOffer,
     /// Number of machines; at least 1.
     pub count: u32,
+    /// The partition whose job lacks the machines.
+    pub partition: u32,
 }
 
 /// Returns the next rental for missing hosts: the first of `missing` that the expected machines do
@@ -103,7 +105,11 @@
         }
         let rental = zones.into_iter().find_map(|(count, in_zone)| {
             let offer = best_offer(&entry.missing, &in_zone.zone, &is_offered)?;
-            Some(Rental { offer, count })
+            Some(Rental {
+                offer,
+                count,
+                partition: entry.partition,
+            })
         });
         if rental.is_some() {
             return rental;
--- a/crates/jasperhill-scheduler/tests/machines/capacity.rs
+++ b/crates/jasperhill-scheduler/tests/machines/capacity.rs
@@ -104,7 +104,7 @@
     fn run_round(&mut self, is_offered: impl Fn(&MachineOffer) -> bool) {
         self.partition.run_cycle(self.now);
         let missing = self.return_idle_hosts();
-        let Some(Rental { offer, count }) = next_rental(&missing, &[], &is_offered) else {
+        let Some(Rental { offer, count, .. }) = next_rental(&missing, &[], &is_offered) else {
             return;
         };
         for _ in 0..count {
--- a/crates/jasperhill-testkit/tests/left_waiting.rs
+++ b/crates/jasperhill-testkit/tests/left_waiting.rs
@@ -185,3 +185,35 @@
         assert_done_before(&outcome, "job-000001", calm_s + WAIT_LIMIT_S);
     }
 }
+
+/// Guards against a job that waits beside an idle host of another partition while the cloud has no
+/// machine to rent. The other partition keeps the host because it should have as many by the count.
+#[test]
+fn idle_host_of_another_partition_goes_to_a_job_that_lacks_it() {
+    const OUTAGE_FROM_S: u64 = 20;
+    const SUBMITTED_S: u64 = 60;
+    for seed in 1..=4 {
+        let whole_machine = json!({"accelerators": 2.0});
+        let service = json!({"shape": "daemon", "urgency": "prod", "expected_s": 0.0});
+        let service = with(
+            with(job("job-000300", "team-1", 0.0), service),
+            whole_machine.clone(),
+        );
+        // One idle host is left, in either zone.
+        let bound = |id: &str, zone: &str| {
+            let job = with(job(id, "team-0", 30.0), whole_machine.clone());
+            (SUBMITTED_S, with(job, json!({"hall": zone})))
+        };
+        let submissions = vec![
+            (2, service),
+            bound("job-000001", "a"),
+            bound("job-000002", "b"),
+        ];
+        let outage = Fault::CloudOutage(Duration::from_secs(RUN_S));
+        let outcome = run_quiet(seed, submissions, vec![(OUTAGE_FROM_S, outage)]);
+        let starts = ["job-000001", "job-000002"].map(|id| outcome.job_times[id].all_started);
+        let limit_s = SUBMITTED_S as f64 + WAIT_LIMIT_S;
+        let is_any_in_time = starts.iter().flatten().any(|at| *at < limit_s);
+        assert!(is_any_in_time, "seed {seed}: {starts:?}");
+    }
+}
