Claims: a kept host goes to the job that has lacked it for longest

A host that is kept for the next retry of a job that backs off, or for a gang that lacks others, could lie idle beside a job of another partition while the cloud has no machine. It is now given up once the other job has lacked it for 45 s and for longer than the job that keeps it; a job that backs off comes last. Jobs that have lacked hosts equally long do not take them from each other.

Evidence: decommission::tests::idle_host_goes_to_the_job_that_has_lacked_it_for_longest.

--- a/crates/jasperhill-controller/src/provisioner/decommission.rs
+++ b/crates/jasperhill-controller/src/provisioner/decommission.rs
@@ -307,14 +307,17 @@
     {
         return Some(HostAssignment::Decommissioned(None));
     }
-    if waiting.own.kept.contains(id) {
-        return None;
-    }
     let surplus = hosts.actual > hosts.desired
         && (host.spot || hosts.actual_on_demand > hosts.desired_on_demand);
     let missing_for = waiting.missing_elsewhere_for(partition.id, host);
     let is_missing_too_long = missing_for.is_some_and(|time| time >= MISSING_TOO_LONG);
+    let own_missing_for = waiting.own.kept.get(id);
+    let is_needed_more_elsewhere = is_missing_too_long && missing_for > own_missing_for.copied();
+    if own_missing_for.is_some() && !is_needed_more_elsewhere {
+        return None;
+    }
     let retention = match (surplus, missing_for) {
+        (_, Some(_)) if own_missing_for.is_some() => IDLE_BEFORE_MOVE,
         (true, None) => criteria.spare_retention,
         (true, Some(_)) => SPARE_RETENTION_IN_SHORTAGE,
         (false, _) if is_missing_too_long => IDLE_BEFORE_MOVE,
@@ -342,3 +345,6 @@
 fn is_empty_and_unhealthy(host: &Host, criteria: &DecommissionCriteria) -> bool {
     host.is_empty() && (host.is_faulty(criteria.now) || host.run_time_ratio > SLOWNESS_MAX)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/jasperhill-scheduler/src/cycle/capacity_claims.rs
+++ b/crates/jasperhill-scheduler/src/cycle/capacity_claims.rs
@@ -56,8 +56,10 @@
 /// The claims of the waiting jobs of a partition.
 #[derive(Clone, Debug, Default)]
 pub struct CapacityClaims {
-    /// Empty hosts that waiting jobs are to use. They must not be given up.
-    pub kept: BTreeSet<HostId>,
+    /// Empty hosts that waiting jobs are to use, with the time for which the job has lacked other
+    /// hosts; zero for a job that backs off. They are given up only for a job of another partition
+    /// that has lacked them for longer.
+    pub kept: BTreeMap<HostId, Micros>,
     /// Hosts that waiting jobs lack, for the longest waiting job of every kind first; at most
     /// [`MISSING_HOSTS_MAX`] entries.
     pub missing: Vec<MissingHosts>,
@@ -115,6 +117,8 @@
 /// Tasks of a job that wait for capacity, with the constraints on their zones.
 struct Claimant<'a> {
     job: &'a Job,
+    /// Time for which the job has lacked hosts; zero if it has lacked none.
+    missing_for: Micros,
     /// Number of tasks that need capacity.
     tasks: u64,
     /// Machine types that fit the job, cheapest first.
@@ -151,12 +155,11 @@
         if !claimants.is_empty() || !retried.is_empty() {
             let mut supply = self.supply(now);
             let mut claim = |claimant: &Claimant<'_>, supply: &mut Vec<Supply<'_>>| {
-                let missing_since = self.missing_since.get(&claimant.job.request.id);
-                let missing_since = missing_since.copied().unwrap_or(now);
                 let entries_before = claims.missing.len();
-                claimant.claim(supply, &mut claims, now - missing_since);
+                claimant.claim(supply, &mut claims);
                 if claims.missing.len() > entries_before {
-                    lacking.insert(claimant.job.request.id.clone(), missing_since);
+                    let id = claimant.job.request.id.clone();
+                    lacking.insert(id, now - claimant.missing_for);
                 }
             };
             for claimant in &claimants {
@@ -201,7 +204,7 @@
             let needed = *claimed + job.request.each.times(tasks_to_claim(job));
             if *older_jobs < most.of_a_kind && self.is_within_limit(cycle, job, needed) {
                 *claimed = needed;
-                claimants.push((*older_jobs, self.claimant(job)));
+                claimants.push((*older_jobs, self.claimant(job, cycle.now)));
                 *older_jobs += 1;
             }
         }
@@ -226,7 +229,8 @@
     }
 
     /// Returns a waiting job with the machine types and zones that it may use.
-    fn claimant<'a>(&self, job: &'a Job) -> Claimant<'a> {
+    fn claimant<'a>(&self, job: &'a Job, now: Micros) -> Claimant<'a> {
+        let missing_since = self.missing_since.get(&job.request.id);
         let request = &job.request;
         let fits = |spec: &&Rc<MachineSpec>| {
             request.allows_type(&spec.machine_type) && request.each.fits(&spec.capacity)
@@ -244,6 +248,7 @@
             .collect();
         Claimant {
             job,
+            missing_for: now - missing_since.copied().unwrap_or(now),
             tasks,
             specs,
             places_in_zone,
@@ -305,13 +310,20 @@
         places
     }
 
+    /// Keeps a host for this job. Jobs that back off come after all others that lack hosts.
+    fn keep(&self, claims: &mut CapacityClaims, host: &Host) {
+        let is_retried = self.job.failures.is_backing_off();
+        let missing_for = if is_retried {
+            Micros::ZERO
+        } else {
+            self.missing_for
+        };
+        let longest = claims.kept.entry(host.id.clone()).or_default();
+        *longest = (*longest).max(missing_for);
+    }
+
     /// Claims capacity for the tasks of the job, and records the hosts that it lacks.
-    fn claim(
-        &self,
-        supply: &mut Vec<Supply<'_>>,
-        claims: &mut CapacityClaims,
-        missing_for: Micros,
-    ) {
+    fn claim(&self, supply: &mut Vec<Supply<'_>>, claims: &mut CapacityClaims) {
         let missing = if self.job.request.one_zone {
             self.claim_in_one_zone(supply, claims)
         } else {
@@ -322,7 +334,7 @@
                 machine_types: self.specs.iter().map(|s| s.machine_type.clone()).collect(),
                 spot: self.job.request.spot,
                 zones,
-                missing_for,
+                missing_for: self.missing_for,
             });
         }
     }
@@ -430,7 +442,7 @@
                 *in_zone -= taken;
                 tasks_left -= taken;
                 if let Some(host) = entry.host.filter(|_| entry.is_empty) {
-                    claims.kept.insert(host.id.clone());
+                    self.keep(claims, host);
                 }
             }
         }
@@ -450,7 +462,7 @@
         for entry in in_zone.filter(|entry| entry.is_empty && self.may_use(entry)) {
             let places = entry.places(&self.job.request.each, Availability::Soon);
             if let Some(host) = entry.host.filter(|_| places.min(tasks_left) > 0) {
-                claims.kept.insert(host.id.clone());
+                self.keep(claims, host);
                 tasks_left -= places.min(tasks_left);
             }
         }
--- a/crates/jasperhill-scheduler/tests/machines/capacity.rs
+++ b/crates/jasperhill-scheduler/tests/machines/capacity.rs
@@ -87,7 +87,7 @@
     fn return_idle_hosts(&mut self) -> Vec<PartitionMissing> {
         let claims = self.partition.capacity_claims(self.now);
         let hosts = self.partition.hosts.values();
-        let idle = hosts.filter(|host| host.is_empty() && !claims.kept.contains(&host.id));
+        let idle = hosts.filter(|host| host.is_empty() && !claims.kept.contains_key(&host.id));
         for id in idle.map(|host| host.id.clone()).collect::<Vec<_>>() {
             self.partition.remove_host(&id, self.now);
         }
--- a/crates/jasperhill-testkit/tests/left_waiting.rs
+++ b/crates/jasperhill-testkit/tests/left_waiting.rs
@@ -192,20 +192,17 @@
 fn idle_host_of_another_partition_goes_to_a_job_that_lacks_it() {
     const OUTAGE_FROM_S: u64 = 20;
     const SUBMITTED_S: u64 = 60;
+    let whole_machine = json!({"accelerators": 2.0});
+    let service = json!({"shape": "daemon", "urgency": "prod", "expected_s": 0.0});
+    let service = with(job("job-000300", "team-1", 0.0), service);
     for seed in 1..=4 {
-        let whole_machine = json!({"accelerators": 2.0});
-        let service = json!({"shape": "daemon", "urgency": "prod", "expected_s": 0.0});
-        let service = with(
-            with(job("job-000300", "team-1", 0.0), service),
-            whole_machine.clone(),
-        );
         // One idle host is left, in either zone.
         let bound = |id: &str, zone: &str| {
             let job = with(job(id, "team-0", 30.0), whole_machine.clone());
             (SUBMITTED_S, with(job, json!({"hall": zone})))
         };
         let submissions = vec![
-            (2, service),
+            (2, with(service.clone(), whole_machine.clone())),
             bound("job-000001", "a"),
             bound("job-000002", "b"),
         ];
