Testkit: late copies of answered commands, transactions, lease requests and mesh messages

Cause: the operators saw a direct command that had been carried out and answered arrive once more, and no fault of the testkit did that: delayed commands were unanswered ones, and only heartbeats came twice.

Change: `Fault::CommandCopies`, `StoreCopies` and `MeshCopies` deliver a copy of a share of the requests that were answered with 200, from 0.1 s to two minutes later, whatever becomes of their sender; a machine that hangs gets it when it goes on. Counted: copies, those accepted, those with a start of an attempt that the worker no longer lists, those that start it; for transactions those that change something once more. `Scenario::without_fencing_of_copies` lets copies pass token and incarnation. A worker reports a higher token early at most once in half a lease, as the protocol says; before, each one made it report.

--- a/crates/jasperhill-testkit/src/cluster/injection.rs
+++ b/crates/jasperhill-testkit/src/cluster/injection.rs
@@ -53,6 +53,15 @@
             Fault::DelayedCommands(percent, time) => {
                 faults(&|f| f.held_orders.begin(percent, now + time));
             }
+            Fault::CommandCopies(percent, time) => {
+                faults(&|f| f.command_copies.begin(percent, now + time));
+            }
+            Fault::StoreCopies(percent, time) => {
+                faults(&|f| f.store_copies.begin(percent, now + time));
+            }
+            Fault::MeshCopies(percent, time) => {
+                faults(&|f| f.mesh_copies.begin(percent, now + time));
+            }
             Fault::NoHostWrites(time) => {
                 faults(&|f| f.no_host_writes_until = Some(now + time));
             }
--- a/crates/jasperhill-testkit/src/cluster/mod.rs
+++ b/crates/jasperhill-testkit/src/cluster/mod.rs
@@ -6,6 +6,7 @@
 //! can be repeated exactly.
 
 mod agents;
+mod copies;
 mod deployment;
 mod endpoints;
 mod inbound;
--- a/crates/jasperhill-testkit/src/cluster/network.rs
+++ b/crates/jasperhill-testkit/src/cluster/network.rs
@@ -142,7 +142,8 @@
                 .route_on_faulty_link(kind, until, (node, to), request, limit)
                 .await;
         }
-        let answer = self.execute(node, to, request).await;
+        let answer = self.execute(node, to, request.clone()).await;
+        self.copy_answered_request(node, to, &request, &answer);
         let fault_after_execution =
             self.inner
                 .borrow()
--- a/crates/jasperhill-testkit/src/days.rs
+++ b/crates/jasperhill-testkit/src/days.rs
@@ -100,6 +100,19 @@
     }
 }
 
+/// Returns late copies of answered messages during most of the run, of commands for half of the draws and of
+/// requests to the state service for a quarter.
+fn random_copies(rng: &mut StdRng) -> Option<(u64, Fault)> {
+    let percent = rng.random_range(20..90);
+    let time = secs(rng.random_range(60..220));
+    let fault = match rng.random_range(0..4) {
+        0 | 1 => Fault::CommandCopies(percent, time),
+        2 => Fault::StoreCopies(percent, time),
+        _ => return None,
+    };
+    Some((rng.random_range(30..90), fault))
+}
+
 /// Returns a scenario with two or three overlapping fault combinations, at two times of the run.
 pub fn drawn(seed: u64) -> Scenario {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -110,6 +123,7 @@
             faults.extend(random_fault_combination(&mut rng, start_s));
         }
     }
+    faults.extend(random_copies(&mut rng));
     Scenario {
         uneven_arrays: 8,
         zone_bound_jobs: 8,
--- a/crates/jasperhill-testkit/src/faults.rs
+++ b/crates/jasperhill-testkit/src/faults.rs
@@ -127,6 +127,16 @@
     /// This percentage of direct commands is affected: the command, or only its answer, is delayed
     /// by 2 to 90 seconds.
     DelayedCommands(u64, Duration),
+    /// A copy of this percentage of direct commands that were carried out and answered reaches the
+    /// worker once more, a fraction of a second to two minutes later, whatever happens to the
+    /// controllers meanwhile.
+    CommandCopies(u64, Duration),
+    /// A copy of this percentage of answered transactions and lease requests reaches the state
+    /// service once more, a fraction of a second to two minutes later.
+    StoreCopies(u64, Duration),
+    /// A copy of this percentage of answered requests between controllers reaches the receiver once
+    /// more, a fraction of a second to two minutes later.
+    MeshCopies(u64, Duration),
     /// The state service refuses writes of host records as too large, as happens when a block of
     /// records outgrows the limit on a value.
     NoHostWrites(Duration),
@@ -150,6 +160,9 @@
             | Self::LateHeartbeats(_, time)
             | Self::NotReceiving(_, time)
             | Self::DelayedCommands(_, time)
+            | Self::CommandCopies(_, time)
+            | Self::StoreCopies(_, time)
+            | Self::MeshCopies(_, time)
             | Self::NotSending(_, time)
             | Self::NotSendingFrom(.., time)
             | Self::SickMachines(.., time)
@@ -189,6 +202,12 @@
     pub late_reports: ActivePercentage,
     /// Percentage of direct commands that are delayed, or whose answers are.
     pub held_orders: ActivePercentage,
+    /// Percentage of answered direct commands of which a copy arrives later.
+    pub command_copies: ActivePercentage,
+    /// Percentage of answered transactions and lease requests of which a copy arrives later.
+    pub store_copies: ActivePercentage,
+    /// Percentage of answered requests between controllers of which a copy arrives later.
+    pub mesh_copies: ActivePercentage,
     /// End of the refusal of host record writes.
     pub no_host_writes_until: Option<Instant>,
     /// Workers that receive no answers or direct commands.
@@ -256,6 +275,25 @@
     /// Delayed direct commands that the worker accepted when they arrived. Includes commands
     /// delayed because the machine hung.
     pub delayed_commands_accepted: usize,
+    /// Copies of answered direct commands that reached their worker.
+    pub command_copies: usize,
+    /// Copies counted in `command_copies` that the worker accepted.
+    pub command_copies_accepted: usize,
+    /// Copies counted in `command_copies` with a start of an attempt that the worker no longer
+    /// listed, so that only the token or the incarnation kept it from starting the task again.
+    pub command_copies_of_cleared_starts: usize,
+    /// Copies counted in `command_copies_of_cleared_starts` after which the worker listed such an
+    /// attempt again.
+    pub command_copies_with_effect: usize,
+    /// Copies of answered transactions and lease requests that reached the state service.
+    pub store_copies: usize,
+    /// Copies of transactions with changes that were committed once more.
+    pub transaction_copies_with_effect: usize,
+    /// Copies counted in `transaction_copies_with_effect` that changed other records than requests
+    /// and grants of delegations and proposals, which are valid for seconds only.
+    pub transaction_copies_with_lasting_effect: usize,
+    /// Copies of answered requests between controllers that reached their receiver.
+    pub mesh_copies: usize,
     /// Heartbeats for which a worker that is unable to send could not open a connection.
     pub unsent_heartbeats: usize,
     /// Direct command requests accepted by workers that are unable to send heartbeats.
@@ -323,6 +361,14 @@
             (delay, self.draw(3) == 0)
         })
     }
+    /// Returns the delay after which a copy of an answered message arrives, if this percentage of
+    /// messages selects it. Half of the copies arrive within three seconds.
+    pub fn copy_delay(&mut self, copies: ActivePercentage, now: Instant) -> Option<Duration> {
+        self.draw_percent(copies.percent_at(now)).then(|| {
+            let range_ms = if self.draw(2) == 0 { 3_000 } else { 120_000 };
+            Duration::from_millis(100 + self.draw(range_ms))
+        })
+    }
     /// Makes a worker receive nothing until this time.
     pub fn block_receiving(&mut self, worker: String, until: Instant) {
         self.not_receiving.push((worker, until));
--- a/crates/jasperhill-testkit/src/scenario.rs
+++ b/crates/jasperhill-testkit/src/scenario.rs
@@ -55,6 +55,8 @@
     /// Disables the freshness bound: leases are renewed however old the state is that the renewal
     /// rests on.
     pub without_freshness_bound: bool,
+    /// Lets late copies of direct commands pass the workers' checks of token and incarnation.
+    pub without_fencing_of_copies: bool,
 }
 
 impl Scenario {
@@ -83,6 +85,7 @@
             submissions: Vec::new(),
             session_s: None,
             without_freshness_bound: false,
+            without_fencing_of_copies: false,
         }
     }
 }
--- a/crates/jasperhill-testkit/src/worker.rs
+++ b/crates/jasperhill-testkit/src/worker.rs
@@ -65,6 +65,8 @@
     pub sequence: u64,
     /// Highest fencing token seen. Commands with a lower one are refused.
     pub token: u64,
+    /// When a higher token last made a heartbeat due early; `None` if none has.
+    pub token_change_at: Option<Instant>,
     /// Tasks by id and attempt, including exited ones that have not been cleared.
     pub tasks: BTreeMap<(TaskId, u64), Task>,
     /// Whether the machine fails every task that it starts.
@@ -100,6 +102,9 @@
     (crate::cloud::MACHINE_CPUS * 1e6) as u64,
 );
 
+/// Shortest time between two early heartbeats because of higher tokens: half of a worker's lease.
+const TOKEN_CHANGE_INTERVAL: Duration = Duration::from_secs(8);
+
 /// Time limits that apply on workers.
 pub struct WorkerTimes {
     /// Duration of a worker's lease.
@@ -118,6 +123,7 @@
             incarnation: 1,
             sequence: 0,
             token: 0,
+            token_change_at: None,
             tasks: BTreeMap::new(),
             is_sick: false,
             images: BTreeSet::new(),
@@ -169,15 +175,21 @@
         if token < self.token || incarnation != self.incarnation {
             return (409, self.heartbeat());
         }
-        self.raise_token(token);
+        self.raise_token(token, now);
         self.execute(body["orders"].as_array().unwrap(), jobs, now);
         (200, self.heartbeat())
     }
 
-    /// Raises the fencing token; a lower or equal one has no effect.
-    fn raise_token(&mut self, token: u64) {
-        if token > self.token {
-            self.token = token;
+    /// Raises the fencing token; a lower or equal one has no effect. A higher one makes a heartbeat
+    /// due early, but at most once in [`TOKEN_CHANGE_INTERVAL`].
+    fn raise_token(&mut self, token: u64, now: Instant) {
+        if token <= self.token {
+            return;
+        }
+        self.token = token;
+        let last_change = self.token_change_at;
+        if last_change.is_none_or(|at| now - at >= TOKEN_CHANGE_INTERVAL) {
+            self.token_change_at = Some(now);
             self.changed = true;
         }
     }
@@ -197,7 +209,7 @@
         if token < self.token || incarnation != self.incarnation {
             return;
         }
-        self.raise_token(token);
+        self.raise_token(token, now);
         self.lease_from = sent;
         self.execute(body["orders"].as_array().unwrap(), jobs, now);
     }
