Late copies of answered start commands no longer run cleared attempts again

What callers saw: `ran_twice`.

Cause: an attempt was cleared as soon as its direct start was answered, although only the worker's memory of the attempt kept a copy of the request from being carried out. The right to start ended with the answer in the owner's books, but not at the worker, where it ends with a new session or a higher token.

Evidence: all attempts of the task were issued under partition 1's revision 328 by one owner, so there were not two; the session was 1 throughout, and the token did not change.

Fix: a `clear` goes only into a message whose token is above the one under which the attempt was last sent by `/do`; the worker raises its token before it carries out the commands, so from then on it refuses every copy. The token needs no write: any revision up to which the owner's watch cache shows the role's record unchanged is below the revision of every later takeover and move. A message that carries such a `clear` takes the latest one. An attempt found on a host counts as sent under the token of that moment, so the next owner needs no memory of the last one. If the store has had no new revision for 5 s, one host's record is rewritten; that serves all hosts.

--- a/crates/jasperhill-controller/src/commands/sending.rs
+++ b/crates/jasperhill-controller/src/commands/sending.rs
@@ -12,6 +12,7 @@
 use jasperhill_scheduler::{FencingState, HeartbeatSource, HostInput};
 use jasperhill_wire::{
     HostId, Micros, Name, Revision,
+    record::Role,
     worker::{Command, Heartbeat, commands_body},
 };
 use std::{net::SocketAddr, rc::Rc};
@@ -140,6 +141,10 @@
             .partitions
             .get_mut(&target.partition_id)
             .filter(|partition| partition.owned_since == target.owned_since)?;
+        let role = Role::Partition(target.partition_id);
+        if let Some(owned_at) = state.cache.revision_owned(role, partition.owned_since) {
+            partition.raise_token_to_clear(&target.host, owned_at, now);
+        }
         let commands = partition.commands(&target.host);
         let host = partition.hosts.get(&target.host)?;
         let known_as_of = state.authority.cache_fresh_until();
--- a/crates/jasperhill-controller/src/commands/tokens.rs
+++ b/crates/jasperhill-controller/src/commands/tokens.rs
@@ -1,37 +1,49 @@
 //! Raises the fencing tokens of hosts with commands in doubt.
 
 use crate::{host_registry::HostUpdate, shared::Shared, store::WritePriority};
-use jasperhill_wire::{Micros, record::Role};
+use jasperhill_wire::{HostId, Micros, record::Role};
 use std::rc::Rc;
 
 /// The longest time that the write of a host's record may wait before it is sent.
 const WRITE_TIMEOUT: Micros = Micros::from_secs(5);
+/// How long the store may have no new revision before a host's record is rewritten so that exited
+/// tasks can be cleared under a higher token. One such write serves all hosts of all partitions.
+const REVISION_WAIT: Micros = Micros::from_secs(5);
 
 impl Shared {
     /// Raises the fencing tokens of hosts with commands in doubt by rewriting their records. A worker
-    /// then refuses direct commands that arrive late with the old token. Called by each scheduling
-    /// pass.
+    /// then refuses direct commands that arrive late with the old token. Also rewrites a record if
+    /// exited tasks await a new revision and nothing else is written. Called by each scheduling pass.
     pub fn raise_tokens(self: &Rc<Self>) {
         let now = self.now();
         let mut hosts_to_update = Vec::new();
         {
             let mut state_guard = self.state.borrow_mut();
             let state = &mut *state_guard;
+            state
+                .commands
+                .latest_revision
+                .observe(state.cache.revision, now);
             for (partition_id, partition) in &state.scheduling.partitions {
                 let role = (Role::Partition(*partition_id), partition.owned_since);
-                for host in partition
-                    .hosts
-                    .values()
-                    .filter(|host| host.needs_raised_token())
+                let hosts_in_doubt = partition.hosts.values().filter(|h| h.needs_raised_token());
+                let mut hosts: Vec<&HostId> = hosts_in_doubt.map(|host| &host.id).collect();
+                if state
+                    .commands
+                    .latest_revision
+                    .is_unchanged_for(REVISION_WAIT, now)
+                    && let Some(owned_at) = state.cache.revision_owned(role.0, role.1)
+                    && let Some(host) = partition.host_awaiting_revision(owned_at, now)
                 {
-                    if let Some(cached) = state.cache.hosts.get(&host.id)
+                    state.commands.latest_revision.restart(now);
+                    hosts.push(host);
+                }
+                for host in hosts {
+                    if let Some(cached) = state.cache.hosts.get(host)
                         && !state.host_registry.is_backing_off(cached.block, now)
-                        && state
-                            .commands
-                            .hosts_with_record_update
-                            .insert(host.id.clone())
+                        && state.commands.hosts_with_record_update.insert(host.clone())
                     {
-                        hosts_to_update.push((role, host.id.clone(), cached.clone()));
+                        hosts_to_update.push((role, host.clone(), cached.clone()));
                     }
                 }
             }
--- a/crates/jasperhill-controller/src/heartbeats/response.rs
+++ b/crates/jasperhill-controller/src/heartbeats/response.rs
@@ -130,6 +130,10 @@
             return Err(unavailable());
         }
         partition.on_heartbeat(heartbeat, HeartbeatSource::Heartbeat, received_at);
+        let role = Role::Partition(partition_id);
+        if let Some(owned_at) = state.cache.revision_owned(role, partition.owned_since) {
+            partition.raise_token_to_clear(host_id, owned_at, received_at);
+        }
         let commands = partition.commands(host_id);
         let Some(host) = partition.hosts.get(host_id) else {
             return Err(unavailable());
--- a/crates/jasperhill-controller/src/watch_cache/queries.rs
+++ b/crates/jasperhill-controller/src/watch_cache/queries.rs
@@ -4,7 +4,7 @@
 use jasperhill_membership::RoleOwnership;
 use jasperhill_scheduler::dependencies::DependencyState;
 use jasperhill_wire::{
-    JobId, Member, Micros,
+    JobId, Member, Micros, Revision,
     cloud::MachineTypes,
     record::{RecordPhase, ResidualUsage, Role, RoleRecord},
 };
@@ -75,6 +75,13 @@
         (session.value.lease == record.lease).then_some(&record.owner)
     }
 
+    /// Returns the revision of the cache if the role's record was last written at `owned_since`.
+    /// Whoever takes the role over later does so at a greater revision.
+    pub fn revision_owned(&self, role: Role, owned_since: Revision) -> Option<Revision> {
+        let record = self.roles.get(&role)?;
+        (record.version == owned_since).then_some(self.revision)
+    }
+
     /// Returns the recorded ownership of every role that has a record.
     pub fn ownerships(&self) -> BTreeMap<Role, RoleOwnership> {
         let ownership = |(role, entry): (&Role, &Versioned<RoleRecord>)| {
--- a/crates/jasperhill-scheduler/src/host/commands.rs
+++ b/crates/jasperhill-scheduler/src/host/commands.rs
@@ -33,9 +33,17 @@
             Command::Start(task, attempt) => Some((task, attempt)),
             Command::Stop(..) | Command::Clear(..) => None,
         });
+        let starts: Vec<(TaskId, Attempt)> = starts.collect();
         let token = self.token;
+        for (task, attempt) in &starts {
+            if let Some(entry) = self.tasks.get_mut(task)
+                && entry.attempt == *attempt
+            {
+                entry.direct_start_token = Some(token);
+            }
+        }
         self.in_flight_commands = Some(InFlightCommands {
-            starts: starts.collect(),
+            starts,
             basis: CommandBasis { token, known_as_of },
         });
     }
@@ -85,7 +93,8 @@
     ) {
         self.idle_since = None;
         if let Some(previous) = self.tasks.remove(&task) {
-            self.stale.insert((task.clone(), previous.attempt));
+            let key = (task.clone(), previous.attempt);
+            self.stale.insert(key, previous.direct_start_token);
         }
         let entry = HostTask {
             attempt,
@@ -96,6 +105,7 @@
             stopping: None,
             image: Some(image),
             has_unacknowledged_start: false,
+            direct_start_token: None,
         };
         self.tasks.insert(task, entry);
     }
--- a/crates/jasperhill-scheduler/src/host/heartbeat.rs
+++ b/crates/jasperhill-scheduler/src/host/heartbeat.rs
@@ -3,7 +3,7 @@
 
 use super::{FencingState, HeartbeatSource, Host, HostOutput, HostTask, TaskState, TokenRefresh};
 use jasperhill_wire::{
-    Attempt, Micros, Resources, TaskId,
+    Attempt, FencingToken, Micros, Resources, TaskId,
     worker::{ExitCause, Heartbeat, TaskPhase, TaskStatus},
 };
 use std::collections::BTreeSet;
@@ -55,7 +55,7 @@
             listed.insert((status.task.clone(), status.attempt));
             self.on_task_status(status, now, outputs);
         }
-        self.stale.retain(|key| listed.contains(key));
+        self.stale.retain(|key, _| listed.contains(key));
         self.resolve_unlisted_tasks(&listed, source, outputs);
     }
 
@@ -232,11 +232,12 @@
         let entry = self.tasks.get(&status.task);
         if let TaskState::Exited(cause) = state {
             if entry.is_some() {
-                self.stale.insert((status.task.clone(), status.attempt));
+                let key = (status.task.clone(), status.attempt);
+                self.stale.entry(key).or_insert(Some(self.token));
                 return;
             }
             // The task may have been started before a failover; its result counts nevertheless.
-            let new_entry = HostTask::from_report(status.attempt, state, now);
+            let new_entry = HostTask::from_report(status.attempt, state, self.token, now);
             self.tasks.insert(status.task.clone(), new_entry);
             outputs.push(HostOutput::UnknownTaskFound(
                 status.task.clone(),
@@ -250,7 +251,7 @@
             // refuse the start command as busy, so the running attempt replaces the ordered one.
             outputs.push(HostOutput::Ended(status.task.clone(), None));
         }
-        let new_entry = HostTask::from_report(status.attempt, state, now);
+        let new_entry = HostTask::from_report(status.attempt, state, self.token, now);
         self.tasks.insert(status.task.clone(), new_entry);
         outputs.push(HostOutput::UnknownTaskFound(
             status.task.clone(),
@@ -274,7 +275,8 @@
 
 impl HostTask {
     /// Creates the entry of a task that was found on the host, whose resources are not known yet.
-    fn from_report(attempt: Attempt, state: TaskState, now: Micros) -> Self {
+    /// It may have been started by a direct request under any token up to `token`.
+    fn from_report(attempt: Attempt, state: TaskState, token: FencingToken, now: Micros) -> Self {
         Self {
             attempt,
             state,
@@ -284,6 +286,7 @@
             stopping: None,
             image: None,
             has_unacknowledged_start: false,
+            direct_start_token: Some(token),
         }
     }
 }
--- a/crates/jasperhill-scheduler/src/host/mod.rs
+++ b/crates/jasperhill-scheduler/src/host/mod.rs
@@ -97,6 +97,9 @@
     /// Whether the start command was sent in the response to a heartbeat, and no later heartbeat
     /// has shown its effect yet.
     has_unacknowledged_start: bool,
+    /// Highest token under which the start command may have been sent in a direct request; `None`
+    /// if it was sent only in responses to heartbeats, or not at all.
+    direct_start_token: Option<FencingToken>,
 }
 
 impl HostTask {
@@ -212,8 +215,8 @@
     /// Number of tasks whose image is still to be pulled.
     tasks_awaiting_image: usize,
     /// Exited attempts of tasks that another attempt in `tasks` has superseded, kept until the
-    /// worker no longer lists them.
-    stale: BTreeSet<(TaskId, Attempt)>,
+    /// worker no longer lists them, with their [`HostTask::direct_start_token`].
+    stale: BTreeMap<(TaskId, Attempt), Option<FencingToken>>,
     /// Whether the worker must show a raised token before the host gets new tasks.
     token_refresh: TokenRefresh,
     /// Starts of unanswered direct requests, which the worker may still execute.
@@ -288,7 +291,7 @@
             used: Resources::default(),
             tasks_holding_resources: 0,
             tasks_awaiting_image: 0,
-            stale: BTreeSet::new(),
+            stale: BTreeMap::new(),
             token_refresh: TokenRefresh::NotNeeded,
             in_doubt_starts: BTreeSet::new(),
             in_doubt_basis: None,
@@ -402,7 +405,8 @@
         free -= self.used;
         free
     }
-    /// Returns whether the worker may still execute a directly sent start of this attempt.
+    /// Returns whether the worker may still execute a directly sent start of this attempt that it
+    /// has not answered.
     fn may_still_start(&self, task: &TaskId, attempt: Attempt) -> bool {
         let key = (task.clone(), attempt);
         self.in_doubt_starts.contains(&key)
@@ -434,27 +438,62 @@
         current.map(|basis| basis.known_as_of).min()
     }
 
+    /// Returns the exited attempts that the worker may forget once no start of theirs can arrive
+    /// any more, with their [`HostTask::direct_start_token`].
+    fn clearable(
+        &self,
+        is_durable: impl Fn(&TaskId, ExitCause) -> bool,
+    ) -> impl Iterator<Item = (&TaskId, Attempt, Option<FencingToken>)> {
+        let stale = self
+            .stale
+            .iter()
+            .map(|((task, attempt), token)| (task, *attempt, *token));
+        let exited = self.tasks.iter().filter_map(move |(task, entry)| {
+            let TaskState::Exited(cause) = entry.state else {
+                return None;
+            };
+            is_durable(task, cause).then_some((task, entry.attempt, entry.direct_start_token))
+        });
+        stale
+            .chain(exited)
+            .filter(|(task, attempt, _)| !self.may_still_start(task, *attempt))
+    }
+
+    /// Returns whether an exited attempt can be cleared only in a message with a token above the
+    /// host's: a late copy of its direct start would be executed under the present token.
+    pub fn needs_higher_token_to_clear(
+        &self,
+        is_durable: impl Fn(&TaskId, ExitCause) -> bool,
+    ) -> bool {
+        self.clearable(is_durable)
+            .any(|(_, _, direct_start)| direct_start >= Some(self.token))
+    }
+
+    /// Returns whether a message to the worker may carry a higher token than the last one. Under
+    /// it the worker refuses what was sent with the present token: requests in flight, and the
+    /// responses of a delegate.
+    pub fn may_raise_token(&self, now: Micros) -> bool {
+        self.fencing == FencingState::Fenced
+            && self.token_refresh == TokenRefresh::NotNeeded
+            && self.in_flight_commands.is_none()
+            && self.lease_renewed_at_latest <= now
+    }
+
     /// Returns the outstanding commands for the worker, limited to the size of one message.
     ///
     /// Commands are level-triggered: they are repeated until the heartbeats show their effect.
     /// `is_durable` returns whether the result of an exited task is stored, so that the worker may
     /// forget the task.
     pub fn commands(&self, is_durable: impl Fn(&TaskId, ExitCause) -> bool) -> Vec<Command> {
-        let mut commands = Vec::new();
-        for (task, attempt) in &self.stale {
-            // A clear that precedes a late start of the same attempt would make the worker forget
-            // the task and then run it a second time.
-            if !self.may_still_start(task, *attempt) {
-                commands.push(Command::Clear(task.clone(), *attempt));
-            }
-        }
+        // A copy of a direct start may arrive at any time after the start was answered. Once the
+        // attempt is cleared, only a higher token keeps the worker from running it again.
+        let mut commands: Vec<Command> = self
+            .clearable(is_durable)
+            .filter(|(_, _, direct_start)| *direct_start < Some(self.token))
+            .map(|(task, attempt, _)| Command::Clear(task.clone(), attempt))
+            .collect();
         for (task, entry) in &self.tasks {
             match (entry.state, entry.stopping) {
-                (TaskState::Exited(cause), _)
-                    if !self.may_still_start(task, entry.attempt) && is_durable(task, cause) =>
-                {
-                    commands.push(Command::Clear(task.clone(), entry.attempt));
-                }
                 (TaskState::Exited(_), _) => {}
                 (_, Some((grace, _))) => {
                     commands.push(Command::Stop(task.clone(), entry.attempt, grace))
--- a/crates/jasperhill-scheduler/tests/machines/main.rs
+++ b/crates/jasperhill-scheduler/tests/machines/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod failures;
 mod host_commands;
+mod late_copies;
 mod placement;
 mod results;
 mod support;
--- a/crates/jasperhill-testkit/tests/combined_faults/late_messages.rs
+++ b/crates/jasperhill-testkit/tests/combined_faults/late_messages.rs
@@ -8,6 +8,7 @@
 use jasperhill_testkit::Scenario;
 use jasperhill_testkit::faults::Fault;
 use jasperhill_testkit::invariants::InvariantChecker;
+use jasperhill_testkit::users::KEPT_CLASS;
 use jasperhill_testkit::worker::{Worker, WorkerTimes};
 use jasperhill_wire::record::{HostAssignment, HostRecord};
 use jasperhill_wire::user::JobRequest;
@@ -15,6 +16,7 @@
 use jasperhill_wire::{Attempt, FencingToken, Micros, Resources, TaskId};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 #[test]
@@ -219,3 +221,101 @@
         assert_eq!(outcome.fault_counts.records_of_returned, 0, "{name}");
     }
 }
+
+/// Job whose tasks fail on the first machines that get them, and run on others.
+const MOVING_JOB: &str = "job-900001";
+
+fn moving_job() -> serde_json::Value {
+    serde_json::json!({
+        "uid": MOVING_JOB, "jobclass": KEPT_CLASS, "tenant": "team-0", "shape": "array",
+        "urgency": "prod", "shards": 2, "vcpus": 3.0, "accelerators": 2.0, "memory_gb": 8.0,
+        "bundle": "img-1", "size_gb": 0.5, "hosttypes": null, "hall": null, "together": false,
+        "apart": false, "reclaimable": false, "expected_s": 150.0, "snapshot_every_s": 0.0,
+        "snapshot_s": 0.0, "due_s": null,
+    })
+}
+
+/// Returns scenarios with late copies of most answered direct commands, amid restarts within a
+/// second, changes of owners, machines that hang, cancellations, and tasks that fail and move.
+fn scenarios_with_command_copies() -> Vec<(String, Scenario)> {
+    let scenarios = (0..6).map(|n| {
+        let all_restart = (0..3).map(|node| (FAULT_START_S + 20, Fault::Crash(node, millis(300))));
+        let mut faults = vec![
+            (20, Fault::CommandCopies(80, secs(200))),
+            (25, Fault::SickMachines(MOVING_JOB.to_owned(), 2, secs(40))),
+            (FAULT_START_S - 30, Fault::CancelNow(6, secs(8))),
+            (FAULT_START_S, Fault::Crash(n % 3, millis(300))),
+            (FAULT_START_S + 10, Fault::Hang(3, secs(9))),
+            (FAULT_START_S + 40, Fault::Crash((n + 1) % 3, secs(9))),
+            (FAULT_START_S + 60, Fault::CancelNow(6, Duration::ZERO)),
+            (FAULT_START_S + 70, Fault::Refused((n + 2) % 3, secs(20))),
+        ];
+        faults.extend(all_restart);
+        let scenario = Scenario {
+            failing_arrays: 3,
+            uneven_arrays: 6,
+            submissions: vec![(30, moving_job())],
+            ..Scenario::small(660 + n as u64, 300, 70, faults)
+        };
+        (format!("scenario {n}"), scenario)
+    });
+    scenarios.collect()
+}
+
+#[test]
+fn late_copies_of_answered_commands_start_no_task_again() {
+    let runs = run_scenarios(scenarios_with_command_copies());
+    assert_invariants_hold(&runs);
+    // Only the token or the incarnation keeps these copies from starting tasks again.
+    assert!(total_count(&runs, |counts| counts.command_copies_of_cleared_starts) > 100);
+    assert_eq!(
+        total_count(&runs, |counts| counts.command_copies_with_effect),
+        0
+    );
+}
+
+/// Guards against a test of late copies that would not notice a task that they start.
+#[test]
+fn late_copies_that_pass_the_fencing_run_tasks_twice_and_after_cancellation() {
+    let mut scenarios = scenarios_with_command_copies();
+    for (_, scenario) in &mut scenarios {
+        scenario.without_fencing_of_copies = true;
+    }
+    let runs = run_scenarios(scenarios);
+    assert!(total_count(&runs, |counts| counts.command_copies_with_effect) > 100);
+    let violations: Vec<&String> = runs.iter().flat_map(|(_, run)| &run.violations).collect();
+    let is_found = |rule: &str| violations.iter().any(|found| found.starts_with(rule));
+    assert!(
+        is_found("ran_twice") && is_found("ran_cancelled"),
+        "{violations:?}"
+    );
+}
+
+#[test]
+fn late_copies_of_answered_transactions_and_mesh_messages_break_no_invariant() {
+    let scenarios = (0..4).map(|n| {
+        let faults = vec![
+            (20, Fault::StoreCopies(40, secs(200))),
+            (20, Fault::MeshCopies(60, secs(200))),
+            (FAULT_START_S, Fault::Crash(n % 3, millis(300))),
+            (FAULT_START_S + 20, Fault::CancelNow(6, Duration::ZERO)),
+            (FAULT_START_S + 30, Fault::Crash((n + 1) % 3, secs(9))),
+            (FAULT_START_S + 60, Fault::Refused((n + 2) % 3, secs(20))),
+        ];
+        let scenario = Scenario {
+            pipelines: (3, 40),
+            ..Scenario::small(680 + n as u64, 300, 70, faults)
+        };
+        (format!("scenario {n}"), scenario)
+    });
+    let runs = run_scenarios(scenarios.collect());
+    assert_invariants_hold(&runs);
+    assert!(total_count(&runs, |counts| counts.store_copies) > 1_000);
+    assert!(total_count(&runs, |counts| counts.mesh_copies) > 200);
+    assert!(total_count(&runs, |counts| counts.transaction_copies_with_effect) > 0);
+    assert_eq!(
+        total_count(&runs, |counts| counts
+            .transaction_copies_with_lasting_effect),
+        0
+    );
+}
