Logs: each message with commands, tokens raised by writes, and reports of cleared attempts

Cause: the records of the incident could not tell which controller had sent a start, by which message and under which token, or when an attempt was cleared; "task stopped" names neither attempt nor token.

A host remembers its last 128 cleared attempts for it.

--- a/crates/jasperhill-controller/src/commands/mod.rs
+++ b/crates/jasperhill-controller/src/commands/mod.rs
@@ -5,6 +5,7 @@
 //! The state is [`state::CommandState`]. Invariants: at most one request is in flight to a host, and a
 //! host with commands in doubt gets no other commands until its fencing token has been raised.
 
+pub(crate) mod log;
 mod queue;
 mod sending;
 pub mod state;
--- a/crates/jasperhill-controller/src/commands/sending.rs
+++ b/crates/jasperhill-controller/src/commands/sending.rs
@@ -2,6 +2,7 @@
 //! response leaves them in doubt.
 
 use crate::{
+    commands::log::CommandMessage,
     relay::{
         CommandRoute, Worker,
         requests::{commands_request, status_request},
@@ -168,6 +169,12 @@
         {
             return None;
         }
+        state.commands.counts.record_message(
+            host,
+            CommandMessage::DirectRequest,
+            &commands,
+            state.cache.revision,
+        );
         let request = CommandRequest {
             body: commands_body(token, Some(incarnation), &commands),
             command_count: commands.len(),
@@ -198,7 +205,7 @@
             }
             Err(error) if error.is_unsent() => HostInput::DirectRequestSettled,
             _ => {
-                tracing::debug!(
+                tracing::info!(
                     host = %target.host,
                     command_count,
                     "commands unanswered, outcome in doubt"
--- a/crates/jasperhill-controller/src/commands/state.rs
+++ b/crates/jasperhill-controller/src/commands/state.rs
@@ -1,6 +1,7 @@
 //! State of the commands that are sent directly to workers: the queue of hosts and the pending updates
 //! of host records.
 
+use super::log::CommandCounts;
 use jasperhill_connections::ConcurrencyLimiter;
 use jasperhill_wire::{HostId, Micros, Revision};
 use std::collections::BTreeSet;
@@ -15,6 +16,8 @@
     pub hosts_with_record_update: BTreeSet<HostId>,
     /// The latest revision of the store, and since when it has not changed.
     pub latest_revision: LatestRevision,
+    /// Commands and related events since they were last logged.
+    pub counts: CommandCounts,
 }
 
 impl CommandState {
@@ -24,6 +27,7 @@
             limiter: ConcurrencyLimiter::new(concurrency),
             hosts_with_record_update: BTreeSet::new(),
             latest_revision: LatestRevision::default(),
+            counts: CommandCounts::default(),
         }
     }
 }
--- a/crates/jasperhill-controller/src/commands/tokens.rs
+++ b/crates/jasperhill-controller/src/commands/tokens.rs
@@ -48,8 +48,16 @@
                 }
             }
         }
+        let update_count = hosts_to_update.len() as u64;
+        self.state.borrow_mut().commands.counts.token_writes += update_count;
         for (role, host, cached) in hosts_to_update {
             let shared = self.clone();
+            tracing::info!(
+                %host,
+                partition = ?role.0,
+                version = cached.version.0,
+                "host record rewritten to raise its fencing token"
+            );
             self.clone().spawn(async move {
                 let mut record = cached.value;
                 record.rewrites += 1;
--- a/crates/jasperhill-controller/src/heartbeats/response.rs
+++ b/crates/jasperhill-controller/src/heartbeats/response.rs
@@ -2,7 +2,7 @@
 //! worker's partition, 421 with the owner's name if another controller does, and 503 if no known
 //! controller may answer now.
 
-use crate::{shared::Shared, state::State};
+use crate::{commands::log::CommandMessage, shared::Shared, state::State};
 use jasperhill_connections::limiter;
 use jasperhill_http::Response;
 use jasperhill_membership::reachability::LinkId;
@@ -147,6 +147,12 @@
         if !state.authority.is_valid_at(now) || is_known_state_too_old {
             return Err(unavailable());
         }
+        state.commands.counts.record_message(
+            host,
+            CommandMessage::HeartbeatResponse,
+            &commands,
+            state.cache.revision,
+        );
         partition.apply(host_id, HostInput::Answered(&commands), now);
         if partition.needs_scheduling {
             self.wakeups.scheduler.notify_one();
--- a/crates/jasperhill-controller/src/scheduling/mod.rs
+++ b/crates/jasperhill-controller/src/scheduling/mod.rs
@@ -152,7 +152,8 @@
     pub fn scheduling_pass(self: Rc<Self>, is_tick: bool) {
         let now = self.now();
         let mut hosts_to_command = Vec::new();
-        let mut state = self.state.borrow_mut();
+        let mut state_guard = self.state.borrow_mut();
+        let state = &mut *state_guard;
         if !state.authority.is_valid_at(now) {
             return;
         }
@@ -165,13 +166,15 @@
                 partition.run_cycle(now);
             }
             for event in partition.events.drain(..) {
+                let is_reappearance = matches!(event, Event::ClearedAttemptReported { .. });
+                state.commands.counts.cleared_attempts_reported += u64::from(is_reappearance);
                 log_event(&event);
             }
             for host in std::mem::take(&mut partition.hosts_with_new_commands) {
                 hosts_to_command.push((*partition_id, host));
             }
         }
-        drop(state);
+        drop(state_guard);
         self.queue_commands(hosts_to_command, is_tick);
         self.clone().save_results();
         self.clone().cancel_dependents();
@@ -265,5 +268,12 @@
             "all hosts confirmed after the failover"
         ),
         Event::UnexpectedTask(task, host, why) => tracing::warn!(%task, %host, why, "task stopped"),
+        Event::ClearedAttemptReported {
+            task,
+            attempt,
+            host,
+        } => {
+            tracing::warn!(%task, %attempt, %host, "worker reports an attempt that was cleared")
+        }
     }
 }
--- a/crates/jasperhill-scheduler/src/host/heartbeat.rs
+++ b/crates/jasperhill-scheduler/src/host/heartbeat.rs
@@ -19,6 +19,7 @@
             }
         }
         self.stale.clear();
+        self.cleared.clear();
         // Late direct commands carry the old incarnation, so the worker discards them.
         self.clear_in_doubt_commands();
     }
@@ -130,7 +131,9 @@
             match entry.state {
                 // The worker has executed the clear command.
                 TaskState::Exited(_) => {
+                    let attempt = entry.attempt;
                     self.tasks.remove(&task);
+                    self.remember_cleared(task, attempt);
                 }
                 TaskState::Ordered => self.resolve_unlisted_start(task, source, outputs),
                 TaskState::Fetching
@@ -207,6 +210,10 @@
                 // The task runs again after it exited, for example because of a late start command.
                 // It is reported as found; otherwise it would be neither counted nor stopped.
                 entry.stopping = None;
+                outputs.push(HostOutput::ClearedAttemptReported(
+                    status.task.clone(),
+                    status.attempt,
+                ));
                 outputs.push(HostOutput::UnknownTaskFound(
                     status.task.clone(),
                     status.attempt,
@@ -229,6 +236,10 @@
         now: Micros,
         outputs: &mut Vec<HostOutput>,
     ) {
+        let key = (status.task.clone(), status.attempt);
+        if self.cleared.contains(&key) {
+            outputs.push(HostOutput::ClearedAttemptReported(key.0, key.1));
+        }
         let entry = self.tasks.get(&status.task);
         if let TaskState::Exited(cause) = state {
             if entry.is_some() {
--- a/crates/jasperhill-scheduler/src/host/mod.rs
+++ b/crates/jasperhill-scheduler/src/host/mod.rs
@@ -20,7 +20,7 @@
     worker::{Command, ExitCause, Heartbeat},
 };
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     rc::Rc,
 };
 
@@ -34,6 +34,10 @@
 /// commands are sent in later messages.
 const MAX_COMMANDS_PER_MESSAGE: usize = 600;
 
+/// Maximum number of cleared attempts that are remembered for a host, to detect that one of them is
+/// reported again.
+const CLEARED_ATTEMPTS_MAX: usize = 128;
+
 /// Whether a host is known to obey the token of this controller, so that all its tasks are known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FencingState {
@@ -173,6 +177,8 @@
 pub enum HostOutput {
     /// The worker lists this attempt of a task, which was not known to be on the host.
     UnknownTaskFound(TaskId, Attempt),
+    /// The worker lists this attempt of a task again after it had cleared it.
+    ClearedAttemptReported(TaskId, Attempt),
     /// The task was seen running.
     Running(TaskId),
     /// The task no longer runs on the host. `None`: it was lost without an exit status.
@@ -217,6 +223,8 @@
     /// Exited attempts of tasks that another attempt in `tasks` has superseded, kept until the
     /// worker no longer lists them, with their [`HostTask::direct_start_token`].
     stale: BTreeMap<(TaskId, Attempt), Option<FencingToken>>,
+    /// Attempts that the worker cleared most recently, the latest last.
+    cleared: VecDeque<(TaskId, Attempt)>,
     /// Whether the worker must show a raised token before the host gets new tasks.
     token_refresh: TokenRefresh,
     /// Starts of unanswered direct requests, which the worker may still execute.
@@ -292,6 +300,7 @@
             tasks_holding_resources: 0,
             tasks_awaiting_image: 0,
             stale: BTreeMap::new(),
+            cleared: VecDeque::new(),
             token_refresh: TokenRefresh::NotNeeded,
             in_doubt_starts: BTreeSet::new(),
             in_doubt_basis: None,
@@ -387,6 +396,14 @@
         self.update_task_totals();
     }
 
+    /// Remembers that the worker has cleared an attempt.
+    fn remember_cleared(&mut self, task: TaskId, attempt: Attempt) {
+        if self.cleared.len() == CLEARED_ATTEMPTS_MAX {
+            self.cleared.pop_front();
+        }
+        self.cleared.push_back((task, attempt));
+    }
+
     /// Returns the number of tasks that the worker lists in its heartbeats or soon will.
     pub fn listed_task_count(&self) -> usize {
         self.tasks.len() + self.stale.len()
--- a/crates/jasperhill-scheduler/src/partition/events.rs
+++ b/crates/jasperhill-scheduler/src/partition/events.rs
@@ -4,7 +4,7 @@
     recovery::Recovered,
     starvation::{Group, GroupShare},
 };
-use jasperhill_wire::{HostId, JobId, Micros, TaskId};
+use jasperhill_wire::{Attempt, HostId, JobId, Micros, TaskId};
 
 /// The result of the admission test for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +30,16 @@
     Stopped(TaskId, HostId, &'static str),
     /// A worker runs a task that it should not, for this reason; the task is stopped.
     UnexpectedTask(TaskId, HostId, &'static str),
+    /// A worker reports an attempt of a task that it had cleared: a late copy of the start command
+    /// was executed.
+    ClearedAttemptReported {
+        /// The task.
+        task: TaskId,
+        /// The attempt that was cleared.
+        attempt: Attempt,
+        /// The worker's host.
+        host: HostId,
+    },
     /// The host is slow: its tasks take this many times as long as expected.
     HostSlow(HostId, f64),
     /// A job class or team has fallen below its minimum share, with its present share and waiting
--- a/crates/jasperhill-scheduler/src/partition/mod.rs
+++ b/crates/jasperhill-scheduler/src/partition/mod.rs
@@ -387,6 +387,14 @@
                 HostOutput::UnknownTaskFound(task, attempt) => {
                     self.task_found(id, &task, attempt, now)
                 }
+                HostOutput::ClearedAttemptReported(task, attempt) => {
+                    let host = id.clone();
+                    self.events.push(Event::ClearedAttemptReported {
+                        task,
+                        attempt,
+                        host,
+                    });
+                }
                 HostOutput::Ended(task, cause) => self.task_ended(id, &task, cause, now),
             }
         }
--- a/crates/jasperhill-scheduler/tests/machines/late_copies.rs
+++ b/crates/jasperhill-scheduler/tests/machines/late_copies.rs
@@ -318,6 +318,25 @@
     assert_eq!(simulation.partition.hosts[&host].token, FencingToken(6));
 }
 
+#[test]
+fn report_of_a_cleared_attempt_raises_an_event() {
+    let mut simulation = Simulation::new();
+    simulation.start(0);
+    simulation.send_directly(true);
+    simulation.exit(0, ExitCause::Error);
+    simulation.write();
+    simulation.exchange_heartbeat();
+    simulation.exchange_heartbeat();
+    assert!(simulation.partition.events.is_empty());
+    simulation
+        .worker
+        .tasks
+        .insert((task(0), Attempt(1)), TaskPhase::Running);
+    simulation.exchange_heartbeat();
+    let events = format!("{:?}", simulation.partition.events);
+    assert!(events.contains("ClearedAttemptReported"), "{events}");
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Start(u32),
