--- a/crates/jasperhill-testkit/src/cluster/injection.rs
+++ b/crates/jasperhill-testkit/src/cluster/injection.rs
@@ -2,7 +2,7 @@
 
 use super::{STATE_SERVICE_LIMITS, SimulatedCluster};
 use crate::{
-    faults::{ActiveFaults, Fault, SickMachines},
+    faults::{ActiveFaults, ActivePercentage, Fault},
     users,
     worker::Worker,
 };
@@ -45,22 +45,22 @@
             Fault::CloudOutage(time) => faults(&|f| f.cloud_until = Some(now + time)),
             Fault::Stall(node, time) => faults(&|f| f.stall(node, now + time)),
             Fault::LateWrites(percent, time) => {
-                faults(&|f| f.late_writes.begin(percent, now + time));
+                self.begin_percentage(percent, time, |f| &mut f.late_writes);
             }
             Fault::LateHeartbeats(percent, time) => {
-                faults(&|f| f.late_reports.begin(percent, now + time));
+                self.begin_percentage(percent, time, |f| &mut f.late_reports);
             }
             Fault::DelayedCommands(percent, time) => {
-                faults(&|f| f.held_orders.begin(percent, now + time));
+                self.begin_percentage(percent, time, |f| &mut f.held_orders);
             }
             Fault::CommandCopies(percent, time) => {
-                faults(&|f| f.command_copies.begin(percent, now + time));
+                self.begin_percentage(percent, time, |f| &mut f.command_copies);
             }
             Fault::StoreCopies(percent, time) => {
-                faults(&|f| f.store_copies.begin(percent, now + time));
+                self.begin_percentage(percent, time, |f| &mut f.store_copies);
             }
             Fault::MeshCopies(percent, time) => {
-                faults(&|f| f.mesh_copies.begin(percent, now + time));
+                self.begin_percentage(percent, time, |f| &mut f.mesh_copies);
             }
             Fault::NoHostWrites(time) => {
                 faults(&|f| f.no_host_writes_until = Some(now + time));
@@ -78,7 +78,7 @@
             Fault::Hang(count, time) => self.hang_machines(self.random_workers(count), time),
             Fault::CancelNow(count, hang) => self.cancel_running_jobs(count, hang),
             Fault::CancelAtEnd(percent, time) => {
-                faults(&|f| f.cancel_at_end.begin(percent, now + time));
+                self.begin_percentage(percent, time, |f| &mut f.cancel_at_end);
             }
             Fault::InvalidRequests(time) => {
                 spawn_local(users::send_invalid_requests(self.clone(), now + time));
@@ -95,17 +95,23 @@
                     faults(&|f| f.block_sending(id.clone(), now, now + time));
                 }
             }
-            Fault::SickMachines(job, count, time) => faults(&|f| {
-                f.sick = Some(SickMachines {
-                    job: job.clone(),
-                    count,
-                    until: now + time,
-                    machines: BTreeSet::new(),
-                });
-            }),
+            Fault::SickMachines(job, count, time) => {
+                faults(&|f| f.make_sick(job.clone(), count, now + time));
+            }
         }
     }
 
+    /// Starts a fault that affects this percentage of messages or jobs.
+    fn begin_percentage(
+        &self,
+        percent: u64,
+        time: Duration,
+        select: impl Fn(&mut ActiveFaults) -> &mut ActivePercentage,
+    ) {
+        let until = Instant::now() + time;
+        select(&mut self.inner.borrow_mut().faults).begin(percent, until);
+    }
+
     /// Kills a controller and restarts it after `back`.
     fn crash(self: &Rc<Self>, node: usize, back: Duration) {
         self.kill_node(node);
@@ -186,13 +192,15 @@
 
     /// Removes a random machine and all tasks on it.
     fn lose_machine(&self) {
-        let mut inner = self.inner.borrow_mut();
-        let ids: Vec<String> = inner.workers.keys().cloned().collect();
-        if !ids.is_empty() {
-            let n = inner.rng.random_range(0..ids.len());
-            inner.workers.remove(&ids[n]);
-            inner.cloud.machines.remove(&ids[n]);
-        }
+        let id = {
+            let mut inner = self.inner.borrow_mut();
+            let ids: Vec<String> = inner.workers.keys().cloned().collect();
+            if ids.is_empty() {
+                return;
+            }
+            ids[inner.rng.random_range(0..ids.len())].clone()
+        };
+        self.remove_machine(&id);
     }
 
     /// Returns a machine on which a task of this job has started, if any; with `index`, the machine
--- a/crates/jasperhill-testkit/src/faults.rs
+++ b/crates/jasperhill-testkit/src/faults.rs
@@ -396,6 +396,15 @@
             .filter(|(w, _, t)| w == worker && now < *t);
         active.map(|(_, from, _)| now - *from).max()
     }
+    /// Makes the first `count` machines that get a task of the job fail every task until this time.
+    pub fn make_sick(&mut self, job: String, count: usize, until: Instant) {
+        self.sick = Some(SickMachines {
+            job,
+            count,
+            until,
+            machines: BTreeSet::new(),
+        });
+    }
     /// Returns whether a machine fails the tasks that it starts. `jobs` are the jobs whose tasks it
     /// has.
     pub fn is_sick<'a>(
