--- a/crates/jasperhill-controller/src/commands/sending.rs
+++ b/crates/jasperhill-controller/src/commands/sending.rs
@@ -169,7 +169,7 @@
         {
             return None;
         }
-        state.commands.counts.record_message(
+        state.commands.metrics.record_message(
             host,
             CommandMessage::DirectRequest,
             &commands,
--- a/crates/jasperhill-controller/src/commands/state.rs
+++ b/crates/jasperhill-controller/src/commands/state.rs
@@ -1,7 +1,7 @@
 //! State of the commands that are sent directly to workers: the queue of hosts and the pending updates
 //! of host records.
 
-use super::log::CommandCounts;
+use super::log::CommandMetrics;
 use jasperhill_connections::ConcurrencyLimiter;
 use jasperhill_wire::{HostId, Micros, Revision};
 use std::collections::BTreeSet;
@@ -17,7 +17,7 @@
     /// The latest revision of the store, and since when it has not changed.
     pub latest_revision: LatestRevision,
     /// Commands and related events since they were last logged.
-    pub counts: CommandCounts,
+    pub metrics: CommandMetrics,
 }
 
 impl CommandState {
@@ -27,7 +27,7 @@
             limiter: ConcurrencyLimiter::new(concurrency),
             hosts_with_record_update: BTreeSet::new(),
             latest_revision: LatestRevision::default(),
-            counts: CommandCounts::default(),
+            metrics: CommandMetrics::new(),
         }
     }
 }
--- a/crates/jasperhill-controller/src/commands/tokens.rs
+++ b/crates/jasperhill-controller/src/commands/tokens.rs
@@ -78,7 +78,7 @@
                 }
             }
         }
-        commands.counts.token_writes += due.len() as u64;
+        commands.metrics.counts.token_writes += due.len() as u64;
         due
     }
 
--- a/crates/jasperhill-controller/src/connections.rs
+++ b/crates/jasperhill-controller/src/connections.rs
@@ -49,7 +49,7 @@
                 self.log_connection_usage();
                 self.log_starvation();
                 self.log_waiting_jobs();
-                self.state.borrow_mut().commands.counts.log();
+                self.state.borrow_mut().commands.metrics.log();
             }
         }
     }
--- a/crates/jasperhill-controller/src/heartbeats/mod.rs
+++ b/crates/jasperhill-controller/src/heartbeats/mod.rs
@@ -55,4 +55,10 @@
         };
         now + limit
     }
+
+    /// Records the size of a received heartbeat, in bytes.
+    fn record_heartbeat_size(&self, bytes: usize) {
+        let mut state = self.state.borrow_mut();
+        state.commands.metrics.record_heartbeat(bytes);
+    }
 }
--- a/crates/jasperhill-controller/src/heartbeats/response.rs
+++ b/crates/jasperhill-controller/src/heartbeats/response.rs
@@ -147,7 +147,7 @@
         if !state.authority.is_valid_at(now) || is_known_state_too_old {
             return Err(unavailable());
         }
-        state.commands.counts.record_message(
+        state.commands.metrics.record_message(
             host,
             CommandMessage::HeartbeatResponse,
             &commands,
--- a/crates/jasperhill-controller/src/heartbeats/routing.rs
+++ b/crates/jasperhill-controller/src/heartbeats/routing.rs
@@ -21,6 +21,7 @@
     /// owner is known not to hear the worker's zone. Called by the server of the worker API.
     pub async fn handle_heartbeat(self: &Rc<Self>, body: &[u8]) -> Response {
         let deadline = self.heartbeat_deadline();
+        self.record_heartbeat_size(body.len());
         let heartbeat = match parse_heartbeat(body) {
             Ok(heartbeat) => heartbeat,
             Err(refusal) => return refusal,
--- a/crates/jasperhill-controller/src/scheduling/mod.rs
+++ b/crates/jasperhill-controller/src/scheduling/mod.rs
@@ -166,10 +166,14 @@
                 partition.run_cycle(now);
             }
             for event in partition.events.drain(..) {
-                let is_reappearance = matches!(event, Event::ClearedAttemptReported { .. });
-                state.commands.counts.cleared_attempts_reported += u64::from(is_reappearance);
+                if matches!(event, Event::ClearedAttemptReported { .. }) {
+                    state.commands.metrics.counts.cleared_attempts_reported += 1;
+                }
                 log_event(&event);
             }
+            for delay in partition.start_delays.drain(..) {
+                state.commands.metrics.record_start(delay);
+            }
             for host in std::mem::take(&mut partition.hosts_with_new_commands) {
                 hosts_to_command.push((*partition_id, host));
             }
--- a/crates/jasperhill-scheduler/src/partition/mod.rs
+++ b/crates/jasperhill-scheduler/src/partition/mod.rs
@@ -74,6 +74,9 @@
     pub hosts_with_new_commands: BTreeSet<HostId>,
     /// Events to be logged; the caller removes them.
     pub events: Vec<Event>,
+    /// Times from the order to the start of the tasks that were seen running; the caller removes
+    /// them.
+    pub start_delays: Vec<Micros>,
     /// Whether something changed since the last scheduling cycle that may let it start tasks.
     pub needs_scheduling: bool,
     /// Number of jobs that the last scheduling cycle considered.
@@ -116,6 +119,7 @@
             issued_attempts: 0,
             hosts_with_new_commands: BTreeSet::new(),
             events: Vec::new(),
+            start_delays: Vec::new(),
             needs_scheduling: true,
             last_cycle_job_count: 0,
             unconfirmed_since: None,
@@ -377,6 +381,9 @@
             match output {
                 HostOutput::Fenced => {}
                 HostOutput::Running(task) => {
+                    let entry = self.hosts.get(id).and_then(|host| host.tasks.get(&task));
+                    self.start_delays
+                        .extend(entry.map(|entry| now - entry.ordered_at));
                     if let Some(job) = self.jobs.get_mut(&task.job) {
                         job.mark_running(task.index);
                         if let Some(host) = self.hosts.get_mut(id) {
