--- a/crates/jasperhill-scheduler/src/host/outgoing.rs
+++ b/crates/jasperhill-scheduler/src/host/outgoing.rs
@@ -45,7 +45,7 @@
     }
 
     /// Returns the exited attempts that the worker may forget once no start of theirs can arrive
-    /// any more, with their [`HostTask::direct_start_token`].
+    /// any more, with their [`super::HostTask::direct_start_token`].
     fn clearable(
         &self,
         is_durable: impl Fn(&TaskId, ExitCause) -> bool,
