--- a/crates/jasperhill-testkit/src/cluster/injection.rs
+++ b/crates/jasperhill-testkit/src/cluster/injection.rs
@@ -45,22 +45,22 @@
             Fault::CloudOutage(time) => faults(&|f| f.cloud_until = Some(now + time)),
             Fault::Stall(node, time) => faults(&|f| f.stall(node, now + time)),
             Fault::LateWrites(percent, time) => {
-                self.begin_percentage(percent, time, |f| &mut f.late_writes);
+                self.start_percentage(percent, time, |f| &mut f.late_writes);
             }
             Fault::LateHeartbeats(percent, time) => {
-                self.begin_percentage(percent, time, |f| &mut f.late_reports);
+                self.start_percentage(percent, time, |f| &mut f.late_reports);
             }
             Fault::DelayedCommands(percent, time) => {
-                self.begin_percentage(percent, time, |f| &mut f.held_orders);
+                self.start_percentage(percent, time, |f| &mut f.held_orders);
             }
             Fault::CommandCopies(percent, time) => {
-                self.begin_percentage(percent, time, |f| &mut f.command_copies);
+                self.start_percentage(percent, time, |f| &mut f.command_copies);
             }
             Fault::StoreCopies(percent, time) => {
-                self.begin_percentage(percent, time, |f| &mut f.store_copies);
+                self.start_percentage(percent, time, |f| &mut f.store_copies);
             }
             Fault::MeshCopies(percent, time) => {
-                self.begin_percentage(percent, time, |f| &mut f.mesh_copies);
+                self.start_percentage(percent, time, |f| &mut f.mesh_copies);
             }
             Fault::NoHostWrites(time) => {
                 faults(&|f| f.no_host_writes_until = Some(now + time));
@@ -78,7 +78,7 @@
             Fault::Hang(count, time) => self.hang_machines(self.random_workers(count), time),
             Fault::CancelNow(count, hang) => self.cancel_running_jobs(count, hang),
             Fault::CancelAtEnd(percent, time) => {
-                self.begin_percentage(percent, time, |f| &mut f.cancel_at_end);
+                self.start_percentage(percent, time, |f| &mut f.cancel_at_end);
             }
             Fault::InvalidRequests(time) => {
                 spawn_local(users::send_invalid_requests(self.clone(), now + time));
@@ -102,7 +102,7 @@
     }
 
     /// Starts a fault that affects this percentage of messages or jobs.
-    fn begin_percentage(
+    fn start_percentage(
         &self,
         percent: u64,
         time: Duration,
