Alarm: an attempt that another had superseded is reported again

What operators would have missed: `worker reports an attempt that was cleared` did not ring for an attempt that had been superseded on the same host by another one of its task before it was cleared.

Cause: only entries of `Host::tasks` were remembered as cleared, superseded ones (`stale`) were dropped without.

Change: `forget_unlisted_stale_attempts` remembers them too. No message changes.

Result: `report_of_a_superseded_attempt_that_was_cleared_raises_an_event` failed before and passes.

--- a/crates/jasperhill-scheduler/src/host/heartbeat.rs
+++ b/crates/jasperhill-scheduler/src/host/heartbeat.rs
@@ -56,7 +56,7 @@
             listed.insert((status.task.clone(), status.attempt));
             self.on_task_status(status, now, outputs);
         }
-        self.stale.retain(|key, _| listed.contains(key));
+        self.forget_unlisted_stale_attempts(&listed);
         self.resolve_unlisted_tasks(&listed, source, outputs);
     }
 
@@ -109,6 +109,17 @@
         }
     }
 
+    /// Forgets the superseded attempts that the worker no longer lists because it has cleared them.
+    fn forget_unlisted_stale_attempts(&mut self, listed: &BTreeSet<(TaskId, Attempt)>) {
+        let stale = self.stale.keys();
+        let unlisted: Vec<(TaskId, Attempt)> =
+            stale.filter(|key| !listed.contains(key)).cloned().collect();
+        for key in unlisted {
+            self.stale.remove(&key);
+            self.remember_cleared(key.0, key.1);
+        }
+    }
+
     /// Handles tasks that are known here but missing from the worker's list: cleared tasks are
     /// removed, started ones are reported as lost, and unconfirmed starts are left to
     /// [`Host::resolve_unlisted_start`].
--- a/crates/jasperhill-scheduler/tests/machines/late_copies.rs
+++ b/crates/jasperhill-scheduler/tests/machines/late_copies.rs
@@ -337,6 +337,31 @@
     assert!(events.contains("ClearedAttemptReported"), "{events}");
 }
 
+#[test]
+fn report_of_a_superseded_attempt_that_was_cleared_raises_an_event() {
+    let mut simulation = Simulation::new();
+    simulation.start(0);
+    simulation.send_directly(true);
+    simulation.exit(0, ExitCause::Error);
+    simulation.exchange_heartbeat();
+    let each = Resources::from_units(1.0, 0.0, 1.0);
+    let next = HostInput::Start(task(0), Attempt(2), each, ("i".into(), 1.0));
+    let host = simulation.host.clone();
+    simulation.partition.apply(&host, next, NOW);
+    simulation.write();
+    simulation.exchange_heartbeat();
+    simulation.exchange_heartbeat();
+    assert!(simulation.worker.cleared.contains(&(task(0), Attempt(1))));
+    let refused = TaskPhase::Exited(ExitCause::Busy);
+    simulation
+        .worker
+        .tasks
+        .insert((task(0), Attempt(1)), refused);
+    simulation.exchange_heartbeat();
+    let events = format!("{:?}", simulation.partition.events);
+    assert!(events.contains("ClearedAttemptReported"), "{events}");
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Start(u32),
