Tokens: one function decides to which revision a message may raise the token

Cause: the question whether the partition is still owned, and the raise that depends on it, stood in both ways a message goes out; a change of one alone would have undone the fencing.

Change: `commands::tokens::raise_token_to_clear`, called by both. Behaviour is the same.

--- a/crates/jasperhill-controller/src/commands/mod.rs
+++ b/crates/jasperhill-controller/src/commands/mod.rs
@@ -9,6 +9,6 @@
 mod queue;
 mod sending;
 pub mod state;
-mod tokens;
+pub(crate) mod tokens;
 
 pub(crate) use self::state::CommandState;
--- a/crates/jasperhill-controller/src/commands/sending.rs
+++ b/crates/jasperhill-controller/src/commands/sending.rs
@@ -2,7 +2,7 @@
 //! response leaves them in doubt.
 
 use crate::{
-    commands::log::CommandMessage,
+    commands::{log::CommandMessage, tokens::raise_token_to_clear},
     relay::{
         CommandRoute, Worker,
         requests::{commands_request, status_request},
@@ -13,7 +13,6 @@
 use jasperhill_scheduler::{FencingState, HeartbeatSource, HostInput};
 use jasperhill_wire::{
     HostId, Micros, Name, Revision,
-    record::Role,
     worker::{Command, Heartbeat, commands_body},
 };
 use std::{net::SocketAddr, rc::Rc};
@@ -142,10 +141,7 @@
             .partitions
             .get_mut(&target.partition_id)
             .filter(|partition| partition.owned_since == target.owned_since)?;
-        let role = Role::Partition(target.partition_id);
-        if let Some(owned_at) = state.cache.revision_owned(role, partition.owned_since) {
-            partition.raise_token_to_clear(&target.host, owned_at, now);
-        }
+        raise_token_to_clear(&state.cache, partition, &target.host, now);
         let commands = partition.commands(&target.host);
         let host = partition.hosts.get(&target.host)?;
         let known_as_of = state.authority.cache_fresh_until();
--- a/crates/jasperhill-controller/src/commands/tokens.rs
+++ b/crates/jasperhill-controller/src/commands/tokens.rs
@@ -1,9 +1,13 @@
 //! Raises the fencing tokens of hosts with commands in doubt.
 
 use crate::{
-    host_registry::HostUpdate, shared::Shared, state::State, store::WritePriority,
-    watch_cache::HostEntry,
+    host_registry::HostUpdate,
+    shared::Shared,
+    state::State,
+    store::WritePriority,
+    watch_cache::{HostEntry, WatchCache},
 };
+use jasperhill_scheduler::Partition;
 use jasperhill_wire::{HostId, Micros, Revision, record::Role};
 use std::rc::Rc;
 
@@ -23,6 +27,20 @@
     entry: HostEntry,
 }
 
+/// Raises the token of a host before a message to its worker if exited tasks can be cleared only
+/// under a higher one, to the latest revision at which this controller is known to own the partition.
+pub(crate) fn raise_token_to_clear(
+    cache: &WatchCache,
+    partition: &mut Partition,
+    host: &HostId,
+    now: Micros,
+) {
+    let role = Role::Partition(partition.id);
+    if let Some(owned_at) = cache.revision_owned(role, partition.owned_since) {
+        partition.raise_token_to_clear(host, owned_at, now);
+    }
+}
+
 impl Shared {
     /// Raises the fencing tokens of hosts with commands in doubt by rewriting their records. A worker
     /// then refuses direct commands that arrive late with the old token. Also rewrites a record if
--- a/crates/jasperhill-controller/src/heartbeats/response.rs
+++ b/crates/jasperhill-controller/src/heartbeats/response.rs
@@ -2,7 +2,11 @@
 //! worker's partition, 421 with the owner's name if another controller does, and 503 if no known
 //! controller may answer now.
 
-use crate::{commands::log::CommandMessage, shared::Shared, state::State};
+use crate::{
+    commands::{log::CommandMessage, tokens::raise_token_to_clear},
+    shared::Shared,
+    state::State,
+};
 use jasperhill_connections::limiter;
 use jasperhill_http::Response;
 use jasperhill_membership::reachability::LinkId;
@@ -130,10 +134,7 @@
             return Err(unavailable());
         }
         partition.on_heartbeat(heartbeat, HeartbeatSource::Heartbeat, received_at);
-        let role = Role::Partition(partition_id);
-        if let Some(owned_at) = state.cache.revision_owned(role, partition.owned_since) {
-            partition.raise_token_to_clear(host_id, owned_at, received_at);
-        }
+        raise_token_to_clear(&state.cache, partition, host_id, received_at);
         let commands = partition.commands(host_id);
         let Some(host) = partition.hosts.get(host_id) else {
             return Err(unavailable());
