Testkit: copies of requests are drawn and sent by one piece of code

Cause: three arms differed in the fault's name only, with a closure to name it.

Change: the destination picks the percentage; one task waits and delivers. The draws come in the same order.

--- a/crates/jasperhill-testkit/src/cluster/copies.rs
+++ b/crates/jasperhill-testkit/src/cluster/copies.rs
@@ -2,11 +2,11 @@
 //! become of its sender, and its answer is lost.
 
 use super::{ClusterState, SimulatedCluster, network::worker_id};
-use crate::faults::{ActiveFaults, Endpoint};
+use crate::faults::Endpoint;
 use jasperhill_http::{ClientError, Method, Request, Response};
 use jasperhill_wire::TaskId;
 use serde_json::Value;
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 use tokio::{
     task::spawn_local,
     time::{Instant, sleep},
@@ -25,44 +25,32 @@
         if request.method == Method::Get || !is_carried_out {
             return;
         }
+        let destination = self.endpoint_of(to);
+        let delay = {
+            let faults = &mut self.inner.borrow_mut().faults;
+            let copies = match destination {
+                Endpoint::Zone(_) => faults.command_copies,
+                Endpoint::State => faults.store_copies,
+                Endpoint::Node(_) => faults.mesh_copies,
+                Endpoint::Cloud => return,
+            };
+            faults.copy_delay(copies, Instant::now())
+        };
+        let Some(delay) = delay else {
+            return;
+        };
         let (cluster, request) = (self.clone(), request.clone());
-        match self.endpoint_of(to) {
-            Endpoint::Zone(_) => {
-                if let Some(delay) = self.draw_copy_delay(|faults| faults.command_copies) {
-                    spawn_local(async move {
-                        sleep(delay).await;
-                        cluster.deliver_command_copy(to, request).await;
-                    });
-                }
-            }
-            Endpoint::State => {
-                if let Some(delay) = self.draw_copy_delay(|faults| faults.store_copies) {
-                    spawn_local(async move {
-                        sleep(delay).await;
-                        cluster.deliver_store_copy(node, to, request).await;
-                    });
+        spawn_local(async move {
+            sleep(delay).await;
+            match destination {
+                Endpoint::Zone(_) => cluster.deliver_command_copy(to, request).await,
+                Endpoint::State => cluster.deliver_store_copy(node, to, request).await,
+                Endpoint::Node(_) | Endpoint::Cloud => {
+                    cluster.inner.borrow_mut().faults.counts.mesh_copies += 1;
+                    let _ = cluster.execute(node, to, request).await;
                 }
             }
-            Endpoint::Node(_) => {
-                if let Some(delay) = self.draw_copy_delay(|faults| faults.mesh_copies) {
-                    spawn_local(async move {
-                        sleep(delay).await;
-                        cluster.inner.borrow_mut().faults.counts.mesh_copies += 1;
-                        let _ = cluster.execute(node, to, request).await;
-                    });
-                }
-            }
-            Endpoint::Cloud => {}
-        }
-    }
-
-    fn draw_copy_delay(
-        &self,
-        copies: impl Fn(&ActiveFaults) -> crate::faults::ActivePercentage,
-    ) -> Option<Duration> {
-        let faults = &mut self.inner.borrow_mut().faults;
-        let percentage = copies(faults);
-        faults.copy_delay(percentage, Instant::now())
+        });
     }
 
     /// Delivers a copy of a direct command to a worker once its machine does not hang, and counts
