Review: what goes wrong in a script itself is exit 2, not a verdict

Cause: an error of a stand-in or a program that was not built ended a script with 1 or 0, as if the rule had been broken or held; the time limit did not cover the start.

--- a/review/common2/standin.py
+++ b/review/common2/standin.py
@@ -953,21 +953,24 @@
     """Runs `play(case)`, which returns None if the rule held, else what broke it."""
     if not os.path.exists(os.path.join(ROOT, run_command()[0])):
         print("build the program first")
-        return 2
+        sys.exit(2)
 
     async def run():
         case = Case(folder, site, pool, boot_s)
+
+        async def start_and_play():
+            await case.start()
+            return await play(case)
+
         try:
-            try:
-                await case.start()
-                broken = await asyncio.wait_for(play(case), limit_s)
-            except (CannotRun, asyncio.TimeoutError) as error:
-                case.record("case", f"could not run: {error!r}")
-                print("could not run:", repr(error))
-                return 2
+            broken = await asyncio.wait_for(start_and_play(), limit_s)
             case.record("case", f"broken: {broken}" if broken else "the rule held")
             print(f"broken: {broken}" if broken else "the rule held")
             return 1 if broken else 0
+        except Exception as error:  # whatever goes wrong here is no verdict on the rule
+            case.record("case", f"could not run: {error!r}")
+            print("could not run:", repr(error))
+            return 2
         finally:
             if hasattr(case, "platform"):
                 case.platform.close()
@@ -977,7 +980,10 @@
 
     signal.signal(signal.SIGTERM, leave)
     begun = time.time()
-    code = asyncio.run(run())
+    try:
+        code = asyncio.run(run())
+    except KeyboardInterrupt:
+        code = 2
     print(f"exit {code} after {time.time() - begun:.0f} s")
     sys.stdout.flush()
     os._exit(code)
